Decide, reserve and run gangs: the kernel and the protocol as pure state machines

The base of the scheduler: kernel (guaranteed shapes, queue, placement, reclaim, backend slots), the owner, agent and entry protocols, and a cell in virtual time that drives them with small fakes.

Cause of the one failure found: attempts were numbered per owner, so an attempt of a later epoch could carry an earlier one's number and a running request was not adopted. Ruled out: writing each attempt to the store (a write a start). Change: attempts are named by the gang's number, which is unique over epochs.

--- /dev/null
+++ b/modules/base/include/celerylift/base/log.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <fmt/format.h>
+
+#include <string_view>
+
+namespace celerylift::base {
+
+/// Writes one line to standard error. Lines are for changes of state alone;
+/// what happens often is counted in metrics.
+void log_line(std::string_view process, std::string_view line);
+
+template <class... Args>
+void log_state(std::string_view process, fmt::format_string<Args...> format,
+               Args&&... args) {
+    log_line(process, fmt::format(format, std::forward<Args>(args)...));
+}
+
+} // namespace celerylift::base
--- /dev/null
+++ b/modules/kernel/include/celerylift/kernel/cell_state.hpp
@@ -0,0 +1,167 @@
+#pragma once
+
+#include <celerylift/kernel/backend_pool.hpp>
+#include <celerylift/kernel/types.hpp>
+
+#include <array>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace celerylift::kernel {
+
+struct policy;
+
+/// The most accelerators that one worker may have.
+constexpr int max_accelerators_per_worker = 16;
+
+/// One worker with what is used, held and promised on it.
+struct worker_state {
+    worker spec;
+    int rack = -1;
+    int domain = -1;
+    int used = 0;   // By gangs, stopping ones included.
+    int held = 0;   // For jobs that wait for a reclaim.
+    int homed = 0;  // By blocks of all guarantees.
+    int pinned = 0; // By gangs that are never stopped.
+    bool usable = true;
+    bool draining = false;
+    int strikes = 0;
+    int successes = 0;
+    std::optional<time_point> quarantined_until;
+    duration quarantine_length{0};
+    std::set<std::string> failed_jobs; // Whose failures are the strikes.
+    std::vector<gang_id> gangs;
+};
+
+/// For each size k, how many members of k accelerators fit into the unit.
+using member_room = std::array<int, max_accelerators_per_worker + 1>;
+
+/// A rack or failure domain. `room` follows what is available on its workers.
+struct unit_state {
+    std::string name;
+    std::vector<int> workers;
+    member_room room{};
+};
+
+/// One gang shape of a guarantee, bound to the accelerators where it can be
+/// reclaimed. `used` runs parallel to `home`. A lost share's worker is -1.
+struct block_state {
+    int organisation = -1;
+    gang_shape shape;
+    std::vector<share> home;
+    std::vector<int> used;
+};
+
+struct organisation_state {
+    organisation spec;
+    std::vector<int> blocks; // Indices into cell_state::blocks.
+    bool removed = false;
+    int waiting = 0;
+    int borrowed = 0;
+    std::array<double, 2> run_ratio{1.0, 1.0}; // Actual/declared by urgency.
+    std::array<double, 2> mean_run_ms{0, 0};
+};
+
+struct gang_state {
+    gang_id id = 0;
+    kernel::job job;
+    std::vector<share> shares;
+    gang_use use = gang_use::borrowed;
+    int block = -1;
+    std::string backend;
+    time_point placed{};
+    time_point expected_end{};
+    bool stopping = false;
+};
+
+/// A job whose guarantee is being reclaimed: `shares` are held for it in
+/// `block` until the gangs that borrow them have ended.
+struct claim {
+    int block = -1;
+    std::vector<share> shares;
+    std::string backend;
+    time_point since{};
+};
+
+/// Jobs that the scheduler can't tell apart: when one can't be placed, none
+/// of the group can.
+struct group_key {
+    int organisation = -1;
+    kernel::urgency urgency = urgency::patient;
+    gang_shape shape;
+    bool repeatable = true;
+    std::string service;
+
+    auto operator<=>(const group_key&) const = default;
+};
+
+struct waiting_job {
+    kernel::job job;
+    time_point arrived{};
+    std::int64_t order_key = 0;
+    std::set<int> avoid; // Workers on which the job has failed.
+    std::optional<claim> reclaim;
+    std::string waiting_for;
+};
+
+struct waiting_group {
+    std::set<std::pair<std::int64_t, std::string>> jobs;
+    std::uint64_t blocked_at = 0; // Capacity version of the last failure.
+};
+
+/// Capacity that is being emptied for a gang too large for what is free.
+struct reservation {
+    std::string job;
+    std::vector<int> workers; // Sorted.
+    time_point shadow{};
+};
+
+/// Everything the decisions depend on. It is changed by the kernel's free
+/// functions alone.
+struct cell_state {
+    const kernel::policy* policy = nullptr;
+    int fragmentation_weight = 50; // Percent.
+    int default_queue_limit = 1000;
+    std::uint64_t random = 1;
+    gang_id next_gang = 1;
+
+    std::vector<worker_state> workers;
+    std::unordered_map<std::string, int> worker_index;
+    std::vector<unit_state> racks;
+    std::vector<unit_state> domains;
+    unit_state whole;
+    std::map<std::string, int> rack_index;
+    std::map<std::string, int> domain_index;
+
+    std::vector<organisation_state> organisations;
+    std::unordered_map<std::string, int> organisation_index;
+    std::vector<block_state> blocks;
+
+    std::unordered_map<gang_id, gang_state> gangs;
+    std::unordered_map<std::string, waiting_job> waiting;
+    std::map<group_key, waiting_group> groups;
+    std::set<std::pair<std::int64_t, group_key>> ready_groups;
+    std::set<std::string> claims; // Waiting jobs that hold a claim.
+    std::optional<kernel::reservation> reserved;
+    std::map<std::string, std::set<int>> job_failures;
+    backend_pool backends;
+
+    std::uint64_t capacity_version = 1; // Raised when capacity grows.
+    int lost_shares = 0;
+};
+
+/// Accelerators on worker `w` that a gang which can be stopped may take now.
+int available(const cell_state& cell, int w);
+
+/// Accelerators on worker `w` that no guarantee covers and that are free now.
+int available_outside_guarantees(const cell_state& cell, int w);
+
+/// Whether new gangs may be placed on worker `w`.
+bool accepts_gangs(const worker_state& w);
+
+} // namespace celerylift::kernel
--- /dev/null
+++ b/modules/kernel/src/workers.cpp
@@ -0,0 +1,190 @@
+#include <celerylift/kernel/workers.hpp>
+
+#include <celerylift/kernel/guarantees.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace celerylift::kernel {
+
+bool accepts_gangs(const worker_state& w) {
+    return w.usable && !w.draining && !w.quarantined_until;
+}
+
+int available(const cell_state& cell, int w) {
+    const auto& s = cell.workers[w];
+    if (!accepts_gangs(s))
+        return 0;
+    return std::max(0, s.spec.accelerators - s.used - s.held);
+}
+
+int available_outside_guarantees(const cell_state& cell, int w) {
+    const auto& s = cell.workers[w];
+    return std::max(0, std::min(available(cell, w), s.spec.accelerators -
+                                                        s.homed - s.pinned));
+}
+
+namespace {
+
+void change_room(unit_state& unit, int before, int after) {
+    for (int k = 1; k <= max_accelerators_per_worker; ++k)
+        unit.room[k] += after / k - before / k;
+}
+
+/// Runs a change of one worker and brings the summaries of its units up to
+/// date with what became available or was taken.
+template <class Change>
+void with_summaries(cell_state& cell, int w, Change change) {
+    auto& s = cell.workers[w];
+    const int before = available(cell, w);
+    change(s);
+    const int after = available(cell, w);
+    if (before == after)
+        return;
+    change_room(cell.racks[s.rack], before, after);
+    change_room(cell.domains[s.domain], before, after);
+    change_room(cell.whole, before, after);
+    if (after > before)
+        ++cell.capacity_version;
+}
+
+int unit_named(std::vector<unit_state>& units, std::map<std::string, int>& index,
+               const std::string& name) {
+    auto [it, added] = index.emplace(name, static_cast<int>(units.size()));
+    if (added) {
+        units.emplace_back();
+        units.back().name = name;
+    }
+    return it->second;
+}
+
+} // namespace
+
+int add_worker(cell_state& cell, const worker& spec) {
+    assert(spec.accelerators <= max_accelerators_per_worker);
+    if (auto it = cell.worker_index.find(spec.id);
+        it != cell.worker_index.end()) {
+        set_worker_usable(cell, spec.id, true);
+        return it->second;
+    }
+    const int w = static_cast<int>(cell.workers.size());
+    worker_state s;
+    s.spec = spec;
+    s.rack = unit_named(cell.racks, cell.rack_index,
+                        spec.failure_domain + "/" + spec.rack);
+    s.domain = unit_named(cell.domains, cell.domain_index, spec.failure_domain);
+    s.usable = false;
+    cell.racks[s.rack].workers.push_back(w);
+    cell.domains[s.domain].workers.push_back(w);
+    cell.whole.workers.push_back(w);
+    cell.workers.push_back(std::move(s));
+    cell.worker_index.emplace(spec.id, w);
+    set_worker_usable(cell, spec.id, true);
+    return w;
+}
+
+void set_worker_usable(cell_state& cell, const std::string& id, bool usable) {
+    auto it = cell.worker_index.find(id);
+    if (it == cell.worker_index.end() ||
+        cell.workers[it->second].usable == usable)
+        return;
+    with_summaries(cell, it->second,
+                   [&](worker_state& s) { s.usable = usable; });
+    if (usable)
+        find_lost_homes(cell);
+    else
+        leave_homes(cell, it->second);
+}
+
+void set_worker_draining(cell_state& cell, const std::string& id,
+                         bool draining) {
+    auto it = cell.worker_index.find(id);
+    if (it == cell.worker_index.end() ||
+        cell.workers[it->second].draining == draining)
+        return;
+    with_summaries(cell, it->second,
+                   [&](worker_state& s) { s.draining = draining; });
+    if (draining)
+        leave_homes(cell, it->second);
+    else
+        find_lost_homes(cell);
+}
+
+void change_usage(cell_state& cell, int w, int used, int held) {
+    with_summaries(cell, w, [&](worker_state& s) {
+        s.used += used;
+        s.held += held;
+        assert(s.used >= 0 && s.held >= 0);
+        assert(s.used <= s.spec.accelerators);
+    });
+}
+
+namespace {
+
+void forgive_workers(cell_state& cell, const std::string& job) {
+    for (int w : cell.job_failures[job]) {
+        auto& s = cell.workers[w];
+        if (s.failed_jobs.erase(job) == 0 || s.strikes == 0)
+            continue;
+        --s.strikes;
+    }
+}
+
+void start_quarantine(cell_state& cell, int w, time_point now) {
+    with_summaries(cell, w, [&](worker_state& s) {
+        s.quarantine_length = s.quarantine_length.count() == 0
+                                  ? first_quarantine
+                                  : std::min(longest_quarantine,
+                                             s.quarantine_length * 2);
+        s.quarantined_until = now + s.quarantine_length;
+    });
+    leave_homes(cell, w);
+}
+
+} // namespace
+
+bool record_task(cell_state& cell, int w, const std::string& job,
+                 bool succeeded, time_point now) {
+    auto& s = cell.workers[w];
+    if (succeeded) {
+        s.strikes = 0;
+        s.failed_jobs.clear();
+        s.quarantine_length = duration{0};
+        ++s.successes;
+        return false;
+    }
+    auto& failures = cell.job_failures[job];
+    failures.insert(w);
+    int sound_workers = 0;
+    for (int f : failures)
+        sound_workers += cell.workers[f].quarantined_until ? 0 : 1;
+    if (s.failed_jobs.insert(job).second)
+        ++s.strikes;
+    if (sound_workers > job_evidence_workers) {
+        forgive_workers(cell, job);
+        return false;
+    }
+    if (s.strikes < quarantine_strikes || s.quarantined_until)
+        return false;
+    start_quarantine(cell, w, now);
+    return true;
+}
+
+void end_quarantines(cell_state& cell, time_point now) {
+    bool any = false;
+    for (int w = 0; w < static_cast<int>(cell.workers.size()); ++w) {
+        auto& until = cell.workers[w].quarantined_until;
+        if (!until || *until > now)
+            continue;
+        any = true;
+        with_summaries(cell, w, [](worker_state& s) {
+            s.quarantined_until.reset();
+            s.strikes = quarantine_strikes - 1;
+            s.failed_jobs.clear();
+        });
+    }
+    if (any)
+        find_lost_homes(cell);
+}
+
+} // namespace celerylift::kernel
--- /dev/null
+++ b/modules/protocol/include/celerylift/protocol/entry.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <celerylift/base/event_log.hpp>
+#include <celerylift/protocol/owner.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace celerylift::protocol {
+
+struct entry_settings {
+    std::string name;
+    std::string cell;
+    std::vector<std::string> peers;
+
+    bool operator==(const entry_settings&) const = default;
+};
+
+/// A call of a caller of this entry, until the owner has answered it.
+struct pending_call {
+    wire::ApiCall call;
+    time_point deadline{};
+    time_point last_sent{};
+    bool forwarded = false;
+    bool internal = false; // Asked by the entry itself; no caller waits.
+};
+
+/// The steps by which an entry wins the owner key.
+enum class claim_step { none, granting, putting, reading_back };
+
+struct claim_state {
+    claim_step step = claim_step::none;
+    std::uint64_t request = 0;
+    std::int64_t lease = 0;
+    time_point lease_until{};
+    time_point granted_at{};
+    std::string write_id;
+    bool resuming = false;
+    time_point not_before{};
+};
+
+struct peer_view {
+    time_point heard{};
+    int agents_heard = 0;
+    bool leaving = false;
+};
+
+struct entry_state {
+    entry_settings settings;
+    base::event_log log;
+    std::unique_ptr<owner_state> owner; // Set while this entry owns the cell.
+
+    std::string owner_name; // As the store says.
+    std::int64_t owner_epoch = 0;
+    bool owner_known = false; // Whether the store has been heard at all.
+    claim_state claim;
+    std::uint64_t renewal_request = 0;
+    time_point renewal_sent{};
+    time_point next_renewal{};
+    std::uint64_t remove_request = 0;
+
+    std::map<std::string, time_point> agents_heard;
+    std::map<std::string, std::uint64_t> agent_incarnations;
+    std::map<std::string, peer_view> peers;
+    std::map<std::uint64_t, pending_call> calls;
+    std::uint64_t next_call = 1;
+    std::uint64_t next_request = 1;
+    std::uint64_t next_write = 1;
+    std::uint64_t random = 1;
+    time_point next_status{};
+
+    std::int64_t configuration_revision = 0;
+    api::Settings configuration;
+    bool leaving = false;
+};
+
+struct entry_context {
+    entry_state& entry;
+    outbox& out;
+    time_point now;
+    std::int64_t wall_ms;
+};
+
+entry_state make_entry(const entry_settings& settings, std::uint64_t seed,
+                       time_point now);
+
+/// Takes a call of a caller of this entry. The reply appears in the outbox
+/// under the number that is returned, at once or later.
+std::uint64_t on_local_call(const entry_context& c, wire::ApiCall call,
+                            duration limit);
+void on_message(const entry_context& c, const wire::Envelope& envelope);
+void on_store_reply(const entry_context& c, const store_reply& reply);
+void on_watch(const entry_context& c, const watch_event& event);
+void on_tick(const entry_context& c);
+
+/// Stops taking calls and gives up the cell once all is written.
+void begin_leaving(const entry_context& c);
+bool is_idle(const entry_state& entry);
+
+/// What is watched for a cell: the owner key and the configuration.
+std::string control_prefix(const std::string& cell);
+std::string owner_key(const std::string& cell);
+
+} // namespace celerylift::protocol
--- /dev/null
+++ b/modules/protocol/src/agent_internal.hpp
@@ -0,0 +1,33 @@
+// Shared by the parts of the agent; not for use outside this folder.
+#pragma once
+
+#include <celerylift/protocol/agent.hpp>
+
+#include <string>
+
+namespace celerylift::protocol {
+
+wire::Envelope& send(const agent_context& c, const std::string& to);
+void note(const agent_context& c, std::string kind, std::string subject,
+          std::string detail = {});
+duration heartbeat_period(const agent_state& agent);
+
+// ---- Members of gangs ----
+
+void on_reserve(const agent_context& c, const std::string& from,
+                const wire::Reserve& reserve);
+void on_start(const agent_context& c, const std::string& from,
+              const wire::Start& start);
+void on_release(const agent_context& c, const std::string& from,
+                const wire::Release& release);
+void renew_members(const agent_context& c, const wire::HeartbeatAck& ack,
+                   time_point sent);
+void tick_members(const agent_context& c);
+
+// ---- Requests to backend servers ----
+
+void on_run(const agent_context& c, const std::string& from,
+            const wire::Run& run);
+void tick_backends(const agent_context& c);
+
+} // namespace celerylift::protocol
--- /dev/null
+++ b/modules/protocol/src/entry_ownership.cpp
@@ -0,0 +1,316 @@
+// How an entry wins, keeps and gives up the owner key of its cell.
+#include "entry_internal.hpp"
+
+#include <celerylift/kernel/random.hpp>
+#include <celerylift/protocol/timing.hpp>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace celerylift::protocol {
+
+namespace {
+
+/// Entries claim a free cell after a random pause of at most this.
+constexpr duration claim_jitter{100};
+
+/// An entry that hears fewer agents than another lets that one go first.
+constexpr duration claim_deference{1000};
+constexpr duration claim_retry{500};
+constexpr duration peer_is_fresh{2000};
+
+/// How long a leaving owner waits for the store before it gives up its key.
+constexpr duration flush_limit{5000};
+
+void pause_claim(const entry_context& c, duration pause) {
+    c.entry.claim.step = claim_step::none;
+    c.entry.claim.request = 0;
+    c.entry.claim.not_before = c.now + pause;
+}
+
+duration jitter(const entry_context& c) {
+    return duration{static_cast<std::int64_t>(
+        kernel::next_random(c.entry.random) % claim_jitter.count())};
+}
+
+bool others_hear_more(const entry_context& c) {
+    const auto mine = c.entry.agents_heard.size();
+    return std::any_of(
+        c.entry.peers.begin(), c.entry.peers.end(), [&](const auto& peer) {
+            return !peer.second.leaving &&
+                   c.now < peer.second.heard + peer_is_fresh &&
+                   static_cast<std::size_t>(peer.second.agents_heard) > mine;
+        });
+}
+
+void begin_claim(const entry_context& c, bool resuming) {
+    auto& claim = c.entry.claim;
+    claim.step = claim_step::granting;
+    claim.resuming = resuming;
+    claim.granted_at = c.now;
+    store_request grant;
+    grant.op = store_op::grant_lease;
+    grant.ttl = owner_lease;
+    claim.request = call_store(c, std::move(grant));
+}
+
+void put_owner_key(const entry_context& c) {
+    auto& claim = c.entry.claim;
+    claim.step = claim_step::putting;
+    claim.write_id =
+        fmt::format("{}/{}/{:x}", c.entry.settings.name, c.entry.next_write++,
+                    c.entry.next_call);
+    wire::OwnerRecord record;
+    record.set_owner(c.entry.settings.name);
+    record.set_write_id(claim.write_id);
+    store_request put;
+    put.op = store_op::put;
+    put.key = owner_key(c.entry.settings.cell);
+    put.value = record.SerializeAsString();
+    put.expected_revision = no_revision;
+    put.lease = claim.lease;
+    claim.request = call_store(c, std::move(put));
+}
+
+void read_owner_key(const entry_context& c) {
+    c.entry.claim.step = claim_step::reading_back;
+    store_request get;
+    get.op = store_op::get;
+    get.key = owner_key(c.entry.settings.cell);
+    c.entry.claim.request = call_store(c, std::move(get));
+}
+
+/// The agents heard so far are those whose promise the new owner waits for.
+void name_known_agents(const entry_context& c) {
+    for (const auto& [agent, heard] : c.entry.agents_heard) {
+        if (heard + silent_heartbeats * owner_renewal < c.now)
+            continue;
+        auto& view = c.entry.owner->agents[agent];
+        view.name = agent;
+        view.heard = heard;
+        view.incarnation = c.entry.agent_incarnations[agent];
+    }
+}
+
+void become_owner(const entry_context& c, std::int64_t epoch) {
+    auto& claim = c.entry.claim;
+    claim.step = claim_step::none;
+    claim.request = 0;
+    claim.lease_until = claim.granted_at + owner_lease;
+    c.entry.owner_name = c.entry.settings.name;
+    c.entry.owner_epoch = epoch;
+    c.entry.next_renewal = c.now + owner_renewal;
+    note(c, "owner_claimed", c.entry.settings.cell,
+         fmt::format("epoch {}", epoch));
+    if (claim.resuming && c.entry.owner)
+        return resume_ownership(owner_of(c), epoch);
+    c.entry.owner = std::make_unique<owner_state>();
+    c.entry.owner->self = c.entry.settings.name;
+    c.entry.owner->cell_name = c.entry.settings.cell;
+    c.entry.owner->peers = c.entry.settings.peers;
+    name_known_agents(c);
+    begin_ownership(owner_of(c), epoch);
+}
+
+void lose_claim(const entry_context& c) {
+    const bool resuming = c.entry.claim.resuming;
+    pause_claim(c, claim_retry);
+    if (resuming && c.entry.owner)
+        c.entry.owner->phase = owner_phase::deposed;
+}
+
+void on_granted(const entry_context& c, const store_reply& reply) {
+    if (reply.status != store_status::ok)
+        return pause_claim(c, claim_retry);
+    c.entry.claim.lease = reply.lease;
+    put_owner_key(c);
+}
+
+void on_put(const entry_context& c, const store_reply& reply) {
+    if (reply.status == store_status::ok)
+        return become_owner(c, reply.revision);
+    if (reply.status == store_status::unavailable)
+        return read_owner_key(c);
+    lose_claim(c);
+}
+
+void on_read_back(const entry_context& c, const store_reply& reply) {
+    if (reply.status == store_status::unavailable) {
+        // The lease granted for the claim lapses if the store stays away.
+        if (c.now < c.entry.claim.granted_at + owner_lease)
+            return read_owner_key(c);
+        return pause_claim(c, claim_retry);
+    }
+    wire::OwnerRecord record;
+    const bool ours = reply.status == store_status::ok &&
+                      record.ParseFromString(reply.value) &&
+                      record.write_id() == c.entry.claim.write_id;
+    if (ours)
+        return become_owner(c, reply.revision);
+    if (reply.status == store_status::not_found)
+        return pause_claim(c, claim_retry);
+    lose_claim(c);
+}
+
+void renew(const entry_context& c) {
+    store_request request;
+    request.op = store_op::renew_lease;
+    request.lease = c.entry.claim.lease;
+    request.ttl = owner_lease;
+    c.entry.renewal_sent = c.now;
+    c.entry.next_renewal = c.now + owner_renewal;
+    c.entry.renewal_request = call_store(c, std::move(request));
+}
+
+void on_renewed(const entry_context& c, const store_reply& reply) {
+    c.entry.renewal_request = 0;
+    if (reply.status == store_status::ok) {
+        c.entry.claim.lease_until = c.entry.renewal_sent + owner_lease;
+        return;
+    }
+    if (reply.status == store_status::unavailable || !c.entry.owner)
+        return;
+    note(c, "owner_lease_lost", c.entry.settings.cell);
+    if (c.entry.claim.step == claim_step::none && !c.entry.leaving)
+        begin_claim(c, true);
+}
+
+void give_up_key(const entry_context& c) {
+    store_request remove;
+    remove.op = store_op::remove;
+    remove.key = owner_key(c.entry.settings.cell);
+    remove.expected_revision = c.entry.owner_epoch;
+    c.entry.remove_request = call_store(c, std::move(remove));
+}
+
+void tick_leaving(const entry_context& c) {
+    if (c.entry.remove_request != 0)
+        return;
+    const auto& owner = *c.entry.owner;
+    const bool waited = c.now >= owner.phase_since + flush_limit;
+    const bool never_active = owner.phase != owner_phase::leaving;
+    if (is_flushed(owner) || waited || never_active)
+        give_up_key(c);
+}
+
+void tick_owning(const entry_context& c) {
+    if (c.entry.leaving)
+        tick_leaving(c);
+    if (c.now >= c.entry.next_renewal && c.entry.renewal_request == 0)
+        renew(c);
+}
+
+/// Gives back to a new owner what only this one had in memory.
+void resubmit_volatile_jobs(const entry_context& c) {
+    for (const auto& [id, job] : c.entry.owner->jobs) {
+        const auto state = job.record.status().state();
+        if (job.durable || state >= api::ANSWERED ||
+            job.record.spec().not_repeatable())
+            continue;
+        wire::ApiCall call;
+        *call.mutable_submit_job()->mutable_job() = job.record.spec();
+        const auto number = on_local_call(c, std::move(call), call_limit);
+        c.entry.calls.at(number).internal = true;
+    }
+}
+
+} // namespace
+
+bool may_answer(const entry_context& c) {
+    if (!c.entry.owner || c.entry.owner->phase == owner_phase::deposed)
+        return false;
+    return c.now < c.entry.claim.lease_until ||
+           c.entry.owner->store_down_since.has_value();
+}
+
+void drop_deposed(const entry_context& c) {
+    if (!c.entry.owner || c.entry.owner->phase != owner_phase::deposed)
+        return;
+    collect_replies(c);
+    if (c.entry.owner_name == c.entry.settings.name)
+        c.entry.owner_name.clear();
+    resubmit_volatile_jobs(c);
+    c.entry.owner.reset();
+    c.entry.claim = claim_state{};
+    c.entry.claim.not_before = c.now + claim_retry;
+    c.entry.renewal_request = 0;
+}
+
+void take_owner_key(const entry_context& c, const watch_event& event) {
+    c.entry.owner_known = true;
+    if (event.removed) {
+        if (event.revision < c.entry.owner_epoch)
+            return;
+        if (!c.entry.owner)
+            c.entry.owner_name.clear();
+        c.entry.claim.not_before =
+            std::max(c.entry.claim.not_before, c.now + jitter(c));
+        return;
+    }
+    wire::OwnerRecord record;
+    if (event.revision < c.entry.owner_epoch ||
+        !record.ParseFromString(event.value))
+        return;
+    const bool other = record.owner() != c.entry.settings.name;
+    if (other && c.entry.owner && event.revision > c.entry.owner->epoch) {
+        c.entry.owner->phase = owner_phase::deposed;
+        drop_deposed(c);
+    }
+    if (!other && !c.entry.owner)
+        return; // Left behind by an earlier life of this entry.
+    const bool changed = c.entry.owner_name != record.owner();
+    c.entry.owner_name = record.owner();
+    c.entry.owner_epoch = event.revision;
+    if (!changed)
+        return;
+    note(c, "owner_is", c.entry.settings.cell,
+         fmt::format("{} epoch {}", record.owner(), event.revision));
+    for (auto& [id, call] : c.entry.calls)
+        call.last_sent = {};
+}
+
+bool on_claim_reply(const entry_context& c, const store_reply& reply) {
+    if (reply.id == c.entry.renewal_request) {
+        on_renewed(c, reply);
+        return true;
+    }
+    if (reply.id == c.entry.remove_request) {
+        c.entry.remove_request = 0;
+        if (c.entry.owner && c.entry.leaving) {
+            note(c, "owner_left", c.entry.settings.cell);
+            c.entry.owner->phase = owner_phase::deposed;
+        }
+        return true;
+    }
+    if (c.entry.claim.request == 0 || reply.id != c.entry.claim.request)
+        return false;
+    switch (c.entry.claim.step) {
+    case claim_step::granting:
+        on_granted(c, reply);
+        break;
+    case claim_step::putting:
+        on_put(c, reply);
+        break;
+    case claim_step::reading_back:
+        on_read_back(c, reply);
+        break;
+    case claim_step::none:
+        break;
+    }
+    return true;
+}
+
+void tick_ownership(const entry_context& c) {
+    if (c.entry.owner)
+        return tick_owning(c);
+    const auto& claim = c.entry.claim;
+    const bool free = c.entry.owner_known && c.entry.owner_name.empty();
+    if (!free || c.entry.leaving || claim.step != claim_step::none ||
+        c.now < claim.not_before)
+        return;
+    if (others_hear_more(c) && c.now < claim.not_before + claim_deference)
+        return;
+    begin_claim(c, false);
+}
+
+} // namespace celerylift::protocol
--- /dev/null
+++ b/tests/fakes/fake_worker.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <celerylift/protocol/platform_calls.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace celerylift::fakes {
+
+/// A worker that runs tasks under leases. A task whose payload holds
+/// `run_ms=N` succeeds after N milliseconds; others run until stopped.
+class fake_worker {
+public:
+    /// One task as the worker saw it, for checks after a test.
+    struct task_history {
+        std::string task;
+        int accelerators = 0;
+        time_point started{};
+        time_point ended = time_point::max();
+        protocol::task_state state = protocol::task_state::running;
+        int checkpoints = 0;
+    };
+
+    explicit fake_worker(int accelerators) : accelerators_(accelerators) {}
+
+    protocol::worker_reply apply(const protocol::worker_request& request,
+                                 time_point now);
+
+    /// Ends tasks whose time or lease is over.
+    void advance(time_point now);
+
+    void fail_every_task(bool fails) { fails_ = fails; }
+    int in_use() const;
+    const std::vector<task_history>& history() const { return history_; }
+
+private:
+    struct running_task {
+        std::size_t index = 0; // Into history_.
+        time_point lease_until{};
+        time_point ends_at = time_point::max();
+        bool fails = false;
+    };
+
+    void start(const protocol::worker_request& request, time_point now,
+               protocol::worker_reply& reply);
+    void renew(const std::string& list, time_point now);
+    void end(const std::string& task, protocol::task_state state,
+             time_point at);
+    std::vector<protocol::task_report> list() const;
+
+    int accelerators_ = 0;
+    bool fails_ = false;
+    std::map<std::string, running_task> running_;
+    std::vector<task_history> history_;
+};
+
+} // namespace celerylift::fakes
