--- a/include/celerylift/error.hpp
+++ b/include/celerylift/error.hpp
@@ -38,14 +38,16 @@
 };
 
 /// Either a value or the reason why there is none.
-template <class T> using result = std::variant<T, error>;
+template <class T>
+using result = std::variant<T, error>;
 
 /// A success that carries no value.
 struct success {
     bool operator==(const success&) const = default;
 };
 
-template <class T> const error* error_of(const result<T>& r) {
+template <class T>
+const error* error_of(const result<T>& r) {
     return std::get_if<error>(&r);
 }
 
--- /dev/null
+++ b/modules/agent/src/agent_process.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "agent_config.hpp"
+
+#include <celerylift/base/event_log.hpp>
+#include <celerylift/base/metrics.hpp>
+#include <celerylift/net/control_loop.hpp>
+#include <celerylift/net/http_server.hpp>
+#include <celerylift/net/message_node.hpp>
+#include <celerylift/net/worker_threads.hpp>
+#include <celerylift/protocol/agent.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace celerylift::agent {
+
+/// One agent as a process: the protocol's pure steps, driven by sockets,
+/// timers and the threads that call the worker and the backend servers.
+class agent_process {
+public:
+    explicit agent_process(agent_config config);
+    ~agent_process();
+
+    /// Runs until the process has been told to stop and its work has ended.
+    /// Returns the exit code.
+    int run();
+
+private:
+    template <class Step>
+    void step(Step step);
+    void perform(protocol::outbox out);
+    void tick();
+    void stop();
+    void call_worker(const protocol::worker_request& request);
+    void call_backend(const protocol::backend_request& request);
+    net::served_response serve_http(const net::served_request& request);
+    net::served_response serve_backend(const net::served_request& request,
+                                       const std::string& id);
+    net::served_response announce(const net::served_request& request,
+                                  const std::string& id);
+    net::served_response serve_time_line();
+    void report_changes();
+
+    agent_config config_;
+    base::metrics metrics_;
+    base::event_log log_;
+    net::control_loop loop_;
+    protocol::agent_state state_;
+    net::message_node node_;
+    net::worker_threads worker_threads_;
+    net::worker_threads backend_threads_;
+    std::map<std::string, base::address> backend_addresses_;
+    std::unique_ptr<net::http_server> http_;
+    time_point stop_limit_ = time_point::max();
+    std::int64_t reported_epoch_ = 0;
+};
+
+} // namespace celerylift::agent
--- /dev/null
+++ b/modules/base/include/celerylift/base/settings_reader.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <celerylift/error.hpp>
+
+#include <yaml-cpp/yaml.h>
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace celerylift::base {
+
+/// An address by IPv4 number.
+struct address {
+    std::string host;
+    std::uint16_t port = 0;
+
+    bool operator==(const address&) const = default;
+};
+
+std::string to_string(const address& a);
+
+/// Reads one mapping of a settings file. The first thing that is wrong is
+/// kept as the error; each message names file, key, what was found and what
+/// is allowed. Keys that nobody has asked for are an error as well.
+class settings_reader {
+public:
+    /// Opens a file. A file that can't be read or parsed is the error.
+    static settings_reader open(const std::string& file);
+
+    std::string text(const std::string& key);
+
+    /// A name: 1 to 63 of [a-z0-9-].
+    std::string name(const std::string& key);
+    std::int64_t number(const std::string& key, std::int64_t low,
+                        std::int64_t high);
+    base::address address(const std::string& key);
+
+    bool has(const std::string& key) const;
+    settings_reader section(const std::string& key);
+    std::vector<settings_reader> list(const std::string& key);
+
+    /// Takes over the first error of a part and checks for unknown keys.
+    void finish(const settings_reader& part);
+
+    /// Checks for unknown keys. Call it once all keys have been read.
+    void finish();
+
+    const std::string& problem() const { return problem_; }
+
+private:
+    settings_reader(std::string file, std::string path, YAML::Node node);
+
+    YAML::Node required(const std::string& key);
+    void fail(const std::string& key, const std::string& found,
+              const std::string& allowed);
+    std::string full_key(const std::string& key) const;
+
+    std::string file_;
+    std::string path_;
+    YAML::Node node_;
+    std::set<std::string> known_;
+    std::string problem_;
+};
+
+} // namespace celerylift::base
--- a/modules/base/src/metrics.cpp
+++ b/modules/base/src/metrics.cpp
@@ -24,8 +24,8 @@
     auto it = timings_.find(name);
     if (it == timings_.end())
         it = timings_
-                 .emplace(name, timing(ba::quantile_probability =
-                                           reported_quantile))
+                 .emplace(name,
+                          timing(ba::quantile_probability = reported_quantile))
                  .first;
     return it->second;
 }
--- /dev/null
+++ b/modules/base/src/settings_reader.cpp
@@ -0,0 +1,179 @@
+#include <celerylift/base/settings_reader.hpp>
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+namespace celerylift::base {
+
+namespace {
+constexpr std::size_t longest_name = 63;
+constexpr int highest_port = 65535;
+
+bool is_ip_number(const std::string& host) {
+    in_addr buffer{};
+    return inet_pton(AF_INET, host.c_str(), &buffer) == 1;
+}
+
+bool is_name(const std::string& text) {
+    return !text.empty() && text.size() <= longest_name &&
+           std::all_of(text.begin(), text.end(), [](char c) {
+               return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') ||
+                      c == '-';
+           });
+}
+
+} // namespace
+
+std::string to_string(const address& a) {
+    return fmt::format("{}:{}", a.host, a.port);
+}
+
+settings_reader::settings_reader(std::string file, std::string path,
+                                 YAML::Node node)
+    : file_(std::move(file)), path_(std::move(path)), node_(std::move(node)) {}
+
+settings_reader settings_reader::open(const std::string& file) {
+    settings_reader reader(file, "", YAML::Node());
+    try {
+        reader.node_ = YAML::LoadFile(file);
+    } catch (const YAML::BadFile&) {
+        reader.problem_ = fmt::format(
+            "{}: can't be read; check the path and its rights", file);
+        return reader;
+    } catch (const YAML::ParserException& e) {
+        reader.problem_ =
+            fmt::format("{}:{}: is not YAML: {}", file, e.mark.line + 1, e.msg);
+        return reader;
+    }
+    if (!reader.node_.IsMap())
+        reader.problem_ =
+            fmt::format("{}: holds no keys; see docs/OPERATORS.md for an "
+                        "example",
+                        file);
+    return reader;
+}
+
+std::string settings_reader::full_key(const std::string& key) const {
+    return path_.empty() ? key : path_ + "." + key;
+}
+
+void settings_reader::fail(const std::string& key, const std::string& found,
+                           const std::string& allowed) {
+    if (!problem_.empty())
+        return;
+    const auto node = node_.IsMap() ? node_[key] : YAML::Node();
+    const int line = node.IsDefined() ? node.Mark().line : node_.Mark().line;
+    problem_ = fmt::format("{}:{}: {}: found {}; allowed is {}", file_,
+                           line + 1, full_key(key), found, allowed);
+}
+
+YAML::Node settings_reader::required(const std::string& key) {
+    known_.insert(key);
+    if (!problem_.empty() || !node_.IsMap())
+        return {};
+    auto node = node_[key];
+    if (!node.IsDefined())
+        fail(key, "nothing", "a value; the key is required");
+    return node.IsDefined() ? node : YAML::Node();
+}
+
+std::string settings_reader::text(const std::string& key) {
+    const auto node = required(key);
+    if (!problem_.empty())
+        return {};
+    if (!node.IsScalar()) {
+        fail(key, "a list or section", "one value");
+        return {};
+    }
+    return node.Scalar();
+}
+
+std::string settings_reader::name(const std::string& key) {
+    auto value = text(key);
+    if (problem_.empty() && !is_name(value))
+        fail(key, "'" + value + "'", "1 to 63 of a-z, 0-9 and -");
+    return value;
+}
+
+std::int64_t settings_reader::number(const std::string& key, std::int64_t low,
+                                     std::int64_t high) {
+    const auto value = text(key);
+    if (!problem_.empty())
+        return 0;
+    char* end = nullptr;
+    const auto parsed = std::strtoll(value.c_str(), &end, 10);
+    const bool whole = !value.empty() && *end == '\0';
+    if (!whole || parsed < low || parsed > high)
+        fail(key, "'" + value + "'",
+             fmt::format("a whole number from {} to {}, without a unit", low,
+                         high));
+    return parsed;
+}
+
+address settings_reader::address(const std::string& key) {
+    const auto value = text(key);
+    if (!problem_.empty())
+        return {};
+    const auto colon = value.rfind(':');
+    const auto host = value.substr(0, colon);
+    const int port =
+        colon == std::string::npos ? 0 : std::atoi(value.c_str() + colon + 1);
+    if (!is_ip_number(host) || port < 1 || port > highest_port) {
+        fail(key, "'" + value + "'",
+             "an IPv4 number and a port, such as 127.0.0.1:7101");
+        return {};
+    }
+    return {host, static_cast<std::uint16_t>(port)};
+}
+
+bool settings_reader::has(const std::string& key) const {
+    return node_.IsMap() && node_[key].IsDefined();
+}
+
+settings_reader settings_reader::section(const std::string& key) {
+    const auto node = required(key);
+    if (problem_.empty() && !node.IsMap())
+        fail(key, "one value", "a section with keys");
+    settings_reader part(file_, full_key(key),
+                         problem_.empty() ? node : YAML::Node());
+    part.problem_ = problem_;
+    return part;
+}
+
+std::vector<settings_reader> settings_reader::list(const std::string& key) {
+    const auto node = required(key);
+    std::vector<settings_reader> parts;
+    if (!problem_.empty())
+        return parts;
+    if (!node.IsSequence()) {
+        fail(key, "no list", "a list of sections");
+        return parts;
+    }
+    for (std::size_t i = 0; i < node.size(); ++i)
+        parts.push_back(settings_reader(
+            file_, fmt::format("{}[{}]", full_key(key), i), node[i]));
+    return parts;
+}
+
+void settings_reader::finish(const settings_reader& part) {
+    if (problem_.empty())
+        problem_ = part.problem_;
+}
+
+void settings_reader::finish() {
+    if (!problem_.empty() || !node_.IsMap())
+        return;
+    for (const auto& entry : node_) {
+        const auto key = entry.first.Scalar();
+        if (known_.contains(key))
+            continue;
+        fail(key, "an unknown key",
+             fmt::format("one of {}", fmt::join(known_, ", ")));
+        return;
+    }
+}
+
+} // namespace celerylift::base
--- /dev/null
+++ b/modules/entry/src/entry_process.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "entry_config.hpp"
+
+#include <celerylift/base/metrics.hpp>
+#include <celerylift/net/control_loop.hpp>
+#include <celerylift/net/http_server.hpp>
+#include <celerylift/net/message_node.hpp>
+#include <celerylift/net/worker_threads.hpp>
+#include <celerylift/protocol/entry.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace celerylift::entry {
+
+class rpc_server;
+
+/// One entry as a process: the protocol's pure steps, driven by sockets,
+/// timers and the threads that call the store.
+class entry_process {
+public:
+    using completion = std::function<void(const wire::ApiReply&)>;
+
+    explicit entry_process(entry_config config);
+    ~entry_process();
+
+    /// Runs until the process has been told to stop and has given up its
+    /// work. Returns the exit code.
+    int run();
+
+    /// Takes a call of the published schema from any thread. `done` is
+    /// called once, on the control thread.
+    void call(wire::ApiCall call, duration limit, completion done);
+
+private:
+    template <class Step>
+    void step(Step step);
+    void perform(protocol::outbox out);
+    void tick();
+    void stop();
+    void call_store(const protocol::store_request& request);
+    void watch_store();
+    net::served_response serve_http(const net::served_request& request);
+    net::served_response serve_time_line();
+    void report_changes();
+
+    entry_config config_;
+    base::metrics metrics_;
+    net::control_loop loop_;
+    protocol::entry_state state_;
+    net::message_node node_;
+    net::worker_threads store_threads_;
+    net::worker_threads watch_thread_;
+    std::unordered_map<std::uint64_t, completion> completions_;
+    std::unique_ptr<net::http_server> http_;
+    std::unique_ptr<rpc_server> rpc_;
+    std::atomic<bool> stopping_{false};
+    std::mutex watch_mutex_;
+    std::condition_variable watch_changed_;
+    std::string reported_;
+};
+
+} // namespace celerylift::entry
--- /dev/null
+++ b/modules/entry/src/operator_client.cpp
@@ -0,0 +1,319 @@
+#include "operator_client.hpp"
+
+#include "printing.hpp"
+#include "shape_text.hpp"
+
+#include <api.grpc.pb.h>
+#include <grpcpp/grpcpp.h>
+
+#include <chrono>
+#include <fmt/format.h>
+#include <sstream>
+
+namespace celerylift::entry {
+
+namespace {
+
+constexpr std::chrono::seconds call_limit{35};
+constexpr std::int64_t default_wait_ms = 30'000;
+
+/// A mistake in the command line.
+struct usage_error {
+    std::string message;
+};
+
+using stub = v1::Scheduler::Stub;
+
+template <class Request, class Reply>
+using method = grpc::Status (stub::*)(grpc::ClientContext*, const Request&,
+                                      Reply*);
+
+std::vector<std::string> entries_of(const command_line& arguments) {
+    std::istringstream list(arguments.at("--entry").asString());
+    std::vector<std::string> entries;
+    for (std::string entry; std::getline(list, entry, ',');)
+        entries.push_back(entry);
+    return entries;
+}
+
+std::string text_of(const command_line& arguments, const char* key) {
+    const auto& value = arguments.at(key);
+    return value ? value.asString() : std::string{};
+}
+
+std::int64_t number_of(const command_line& arguments, const char* key,
+                       std::int64_t otherwise) {
+    const auto& value = arguments.at(key);
+    if (!value)
+        return otherwise;
+    const auto text = value.asString();
+    char* end = nullptr;
+    const auto parsed = std::strtoll(text.c_str(), &end, 10);
+    if (text.empty() || *end != '\0')
+        throw usage_error{fmt::format(
+            "{} is '{}'; allowed is a whole number without a unit", key, text)};
+    return parsed;
+}
+
+bool flag(const command_line& arguments, const char* key) {
+    return arguments.at(key) && arguments.at(key).asBool();
+}
+
+int report(const grpc::Status& status) {
+    v1::Error e;
+    const bool detailed = e.ParseFromString(status.error_details()) &&
+                          e.kind() != v1::ERROR_KIND_UNSPECIFIED;
+    fmt::print(stderr, "celerylift: {}\n",
+               detailed ? e.message() : status.error_message());
+    if (detailed && e.retry_after_ms() > 0)
+        fmt::print(stderr, "celerylift: retry after {} ms\n",
+                   e.retry_after_ms());
+    if (!detailed)
+        return exit_unknown;
+    switch (e.ran()) {
+    case v1::NOT_RUN:
+        return exit_refused;
+    case v1::RAN:
+        return exit_failed;
+    default:
+        return exit_unknown;
+    }
+}
+
+/// Asks the entries in turn until one can be reached.
+template <class Request, class Reply>
+grpc::Status ask(const command_line& arguments, const Request& request,
+                 Reply& reply, method<Request, Reply> call) {
+    grpc::Status status(grpc::StatusCode::UNAVAILABLE,
+                        "no entry is named; use --entry");
+    for (const auto& entry : entries_of(arguments)) {
+        const auto channel =
+            grpc::CreateChannel(entry, grpc::InsecureChannelCredentials());
+        const auto scheduler = v1::Scheduler::NewStub(channel);
+        grpc::ClientContext context;
+        context.set_deadline(std::chrono::system_clock::now() + call_limit);
+        status = (*scheduler.*call)(&context, request, &reply);
+        const bool not_reached =
+            status.error_code() == grpc::StatusCode::UNAVAILABLE &&
+            status.error_details().empty();
+        if (!not_reached)
+            return status;
+    }
+    return status;
+}
+
+template <class Reply>
+void print(const command_line& arguments, const Reply& reply) {
+    if (flag(arguments, "--json"))
+        print_json(reply);
+    else
+        print_text(reply);
+}
+
+template <class Reply, class Request>
+int run(const command_line& arguments, const Request& request,
+        method<Request, Reply> call) {
+    Reply reply;
+    const auto status = ask(arguments, request, reply, call);
+    if (!status.ok())
+        return report(status);
+    print(arguments, reply);
+    return exit_done;
+}
+
+int code_of(v1::JobState state) {
+    switch (state) {
+    case v1::FAILED:
+    case v1::JOB_CANCELLED:
+        return exit_failed;
+    case v1::REFUSED:
+        return exit_refused;
+    case v1::UNKNOWN:
+        return exit_unknown;
+    default:
+        return exit_done;
+    }
+}
+
+int put_organisation(const command_line& arguments) {
+    v1::PutOrganisationRequest request;
+    auto* organisation = request.mutable_organisation();
+    organisation->set_name(arguments.at("NAME").asString());
+    organisation->set_queue_limit(
+        static_cast<int>(number_of(arguments, "--queue-limit", 0)));
+    request.set_expected_revision(number_of(arguments, "--revision", 0));
+    for (const auto& text : arguments.at("--guarantee").asStringList()) {
+        const auto block = parse_guarantee(text);
+        if (const auto* e = error_of(block))
+            throw usage_error{e->message};
+        *organisation->add_guarantee() = std::get<v1::GuaranteeBlock>(block);
+    }
+    return run<v1::Revision>(arguments, request, &stub::PutOrganisation);
+}
+
+int organisation_verb(const command_line& arguments) {
+    if (flag(arguments, "put"))
+        return put_organisation(arguments);
+    if (flag(arguments, "list"))
+        return run<v1::OrganisationList>(arguments,
+                                         v1::ListOrganisationsRequest{},
+                                         &stub::ListOrganisations);
+    v1::RemoveOrganisationRequest request;
+    request.set_name(arguments.at("NAME").asString());
+    request.set_expected_revision(number_of(arguments, "--revision", 0));
+    return run<v1::Revision>(arguments, request, &stub::RemoveOrganisation);
+}
+
+v1::JobSpec spec_of(const command_line& arguments) {
+    v1::JobSpec spec;
+    spec.set_id(arguments.at("ID").asString());
+    spec.set_organisation(text_of(arguments, "--org"));
+    spec.set_service(text_of(arguments, "--service"));
+    spec.set_payload(text_of(arguments, "--payload"));
+    spec.set_not_repeatable(flag(arguments, "--once"));
+    spec.set_urgency(flag(arguments, "--urgent") ? v1::URGENT : v1::PATIENT);
+    spec.set_declared_run_ms(number_of(arguments, "--declared-ms", 0));
+    spec.set_deadline_ms(number_of(arguments, "--deadline-ms", 0));
+    const auto gang = text_of(arguments, "--gang");
+    if (gang.empty())
+        return spec;
+    const auto block = parse_guarantee("1x" + gang);
+    if (error_of(block))
+        throw usage_error{fmt::format("--gang is '{}'; allowed is MEMBERSx"
+                                      "ACCELERATORS@UNIT, such as 3x8@rack",
+                                      gang)};
+    *spec.mutable_gang() = std::get<v1::GuaranteeBlock>(block).shape();
+    return spec;
+}
+
+int wait_job(const command_line& arguments) {
+    v1::WaitJobRequest request;
+    request.set_id(arguments.at("ID").asString());
+    request.set_timeout_ms(
+        number_of(arguments, "--timeout-ms", default_wait_ms));
+    v1::JobStatus reply;
+    const auto status = ask(arguments, request, reply, &stub::WaitJob);
+    if (!status.ok())
+        return report(status);
+    print(arguments, reply);
+    return reply.state() < v1::ANSWERED ? exit_unknown : code_of(reply.state());
+}
+
+int submit_job(const command_line& arguments) {
+    v1::SubmitJobRequest request;
+    *request.mutable_job() = spec_of(arguments);
+    v1::JobStatus reply;
+    const auto status = ask(arguments, request, reply, &stub::SubmitJob);
+    if (!status.ok())
+        return report(status);
+    if (flag(arguments, "--wait"))
+        return wait_job(arguments);
+    print(arguments, reply);
+    return exit_done;
+}
+
+int job_verb(const command_line& arguments) {
+    if (flag(arguments, "submit"))
+        return submit_job(arguments);
+    if (flag(arguments, "wait"))
+        return wait_job(arguments);
+    if (flag(arguments, "get")) {
+        v1::GetJobRequest request;
+        request.set_id(arguments.at("ID").asString());
+        return run<v1::JobStatus>(arguments, request, &stub::GetJob);
+    }
+    v1::CancelJobRequest request;
+    request.set_id(arguments.at("ID").asString());
+    return run<v1::JobStatus>(arguments, request, &stub::CancelJob);
+}
+
+int drain(const command_line& arguments) {
+    v1::DrainRequest request;
+    request.set_target(arguments.at("TARGET").asString());
+    request.set_drained(flag(arguments, "drain"));
+    return run<v1::Empty>(arguments, request, &stub::Drain);
+}
+
+/// The settings in force with what the command line changes.
+int set_configuration(const command_line& arguments) {
+    v1::Configuration current;
+    const auto status = ask(arguments, v1::GetConfigurationRequest{}, current,
+                            &stub::GetConfiguration);
+    if (!status.ok())
+        return report(status);
+    v1::SetConfigurationRequest request;
+    auto* s = request.mutable_settings();
+    *s = current.settings();
+    request.set_expected_revision(
+        number_of(arguments, "--revision", current.revision()));
+    const auto change = [&](const char* key, auto current_value) {
+        return static_cast<int>(number_of(arguments, key, current_value));
+    };
+    s->set_gang_lease_ms(change("--gang-lease-ms", s->gang_lease_ms()));
+    s->set_heartbeat_ms(change("--heartbeat-ms", s->heartbeat_ms()));
+    s->set_checkpoint_grace_ms(
+        change("--checkpoint-grace-ms", s->checkpoint_grace_ms()));
+    s->set_queue_limit(change("--queue-limit", s->queue_limit()));
+    s->set_fragmentation_weight(
+        change("--fragmentation-weight", s->fragmentation_weight()));
+    s->set_max_attempts(change("--max-attempts", s->max_attempts()));
+    if (const auto policy = text_of(arguments, "--policy"); !policy.empty())
+        s->set_placement_policy(policy);
+    return run<v1::Revision>(arguments, request, &stub::SetConfiguration);
+}
+
+int config_verb(const command_line& arguments) {
+    if (flag(arguments, "set"))
+        return set_configuration(arguments);
+    return run<v1::Configuration>(arguments, v1::GetConfigurationRequest{},
+                                  &stub::GetConfiguration);
+}
+
+int time_line(const command_line& arguments) {
+    v1::TimeLineRequest request;
+    request.set_subject(text_of(arguments, "--subject"));
+    request.set_limit(static_cast<int>(number_of(arguments, "--limit", 0)));
+    return run<v1::TimeLine>(arguments, request, &stub::GetTimeLine);
+}
+
+int explain(const command_line& arguments) {
+    v1::ExplainRequest request;
+    request.set_id(arguments.at("ID").asString());
+    return run<v1::Explanation>(arguments, request, &stub::Explain);
+}
+
+int run_named_verb(const command_line& arguments) {
+    if (flag(arguments, "org"))
+        return organisation_verb(arguments);
+    if (flag(arguments, "job"))
+        return job_verb(arguments);
+    if (flag(arguments, "config"))
+        return config_verb(arguments);
+    if (flag(arguments, "backends"))
+        return run<v1::BackendList>(arguments, v1::ListBackendsRequest{},
+                                    &stub::ListBackends);
+    if (flag(arguments, "workers"))
+        return run<v1::WorkerList>(arguments, v1::ListWorkersRequest{},
+                                   &stub::ListWorkers);
+    if (flag(arguments, "drain") || flag(arguments, "return"))
+        return drain(arguments);
+    if (flag(arguments, "timeline"))
+        return time_line(arguments);
+    if (flag(arguments, "explain"))
+        return explain(arguments);
+    return run<v1::CellState>(arguments, v1::ShowCellRequest{},
+                              &stub::ShowCell);
+}
+
+} // namespace
+
+int run_verb(const command_line& arguments) {
+    try {
+        return run_named_verb(arguments);
+    } catch (const usage_error& e) {
+        fmt::print(stderr, "celerylift: {}\n", e.message);
+        return exit_usage;
+    }
+}
+
+} // namespace celerylift::entry
--- /dev/null
+++ b/modules/entry/src/rpc_server.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <celerylift/base/settings_reader.hpp>
+
+#include <memory>
+
+namespace grpc {
+class Server;
+}
+
+namespace celerylift::entry {
+
+class entry_process;
+class rpc_service;
+
+/// Serves the published schema over gRPC.
+class rpc_server {
+public:
+    /// Throws std::runtime_error where the address can't be listened on.
+    rpc_server(entry_process& process, const base::address& at);
+    ~rpc_server();
+
+    /// Ends the calls that are still open.
+    void shut_down();
+
+private:
+    std::unique_ptr<rpc_service> service_;
+    std::unique_ptr<grpc::Server> server_;
+};
+
+} // namespace celerylift::entry
--- a/modules/kernel/include/celerylift/kernel/reclaim.hpp
+++ b/modules/kernel/include/celerylift/kernel/reclaim.hpp
@@ -20,9 +20,8 @@
 /// first, then a home that can move to free accelerators, then the block
 /// whose borrowers lose the least work. Returns nothing where the guarantee
 /// is used up or has no gang of this shape.
-std::optional<reclaim_plan> plan_in_guarantee(cell_state& cell,
-                                              const waiting_job& waiting,
-                                              time_point now);
+std::optional<reclaim_plan>
+plan_in_guarantee(cell_state& cell, const waiting_job& waiting, time_point now);
 
 /// Holds the plan's accelerators for the job until its victims have ended.
 void hold_claim(cell_state& cell, waiting_job& waiting,
--- a/modules/kernel/src/backend_pool.cpp
+++ b/modules/kernel/src/backend_pool.cpp
@@ -36,7 +36,9 @@
     return !b.open_until || *b.open_until <= now;
 }
 
-int free_slots(const backend_state& b) { return b.spec.slots - b.used; }
+int free_slots(const backend_state& b) {
+    return b.spec.slots - b.used;
+}
 
 } // namespace
 
--- a/modules/kernel/src/estimates.cpp
+++ b/modules/kernel/src/estimates.cpp
@@ -28,8 +28,7 @@
     const auto u = static_cast<std::size_t>(job.urgency);
     if (job.declared_run.count() > 0)
         return duration{static_cast<std::int64_t>(
-            static_cast<double>(job.declared_run.count()) *
-            org->run_ratio[u])};
+            static_cast<double>(job.declared_run.count()) * org->run_ratio[u])};
     if (org->mean_run_ms[u] > 0)
         return duration{static_cast<std::int64_t>(org->mean_run_ms[u])};
     return default_run;
--- a/modules/kernel/src/fragmentation.cpp
+++ b/modules/kernel/src/fragmentation.cpp
@@ -20,8 +20,8 @@
         return members * shape.accelerators;
     }
     for (const auto& unit : units_of(cell, shape.within))
-        members += unit.room[shape.accelerators] / shape.members *
-                   shape.members;
+        members +=
+            unit.room[shape.accelerators] / shape.members * shape.members;
     return members * shape.accelerators;
 }
 
--- a/modules/kernel/src/guarantees.cpp
+++ b/modules/kernel/src/guarantees.cpp
@@ -205,8 +205,7 @@
     });
     std::vector<int> kept;
     for (int b : blocks) {
-        auto it =
-            std::find(wanted.begin(), wanted.end(), cell.blocks[b].shape);
+        auto it = std::find(wanted.begin(), wanted.end(), cell.blocks[b].shape);
         if (it == wanted.end()) {
             drop_block(cell, b);
             continue;
@@ -293,9 +292,8 @@
     auto it = cell.organisation_index.find(name);
     if (it == cell.organisation_index.end())
         return;
-    drop_claims(cell, [&](const waiting_job& w) {
-        return w.job.organisation == name;
-    });
+    drop_claims(
+        cell, [&](const waiting_job& w) { return w.job.organisation == name; });
     drop_surplus_blocks(cell, it->second, {});
     auto& org = cell.organisations[it->second];
     org.spec.guarantee.clear();
--- a/modules/kernel/src/placement.cpp
+++ b/modules/kernel/src/placement.cpp
@@ -8,8 +8,8 @@
                 int w) {
     if (request.avoid && request.avoid->contains(w))
         return 0;
-    if (request.closed && std::binary_search(request.closed->begin(),
-                                             request.closed->end(), w))
+    if (request.closed &&
+        std::binary_search(request.closed->begin(), request.closed->end(), w))
         return 0;
     return request.outside_guarantees ? available_outside_guarantees(cell, w)
                                       : available(cell, w);
--- a/modules/kernel/src/reclaim.cpp
+++ b/modules/kernel/src/reclaim.cpp
@@ -9,8 +9,7 @@
 
 namespace celerylift::kernel {
 
-void change_block_usage(block_state& block, const placement& shares,
-                        int sign) {
+void change_block_usage(block_state& block, const placement& shares, int sign) {
     for (const auto& s : shares) {
         for (std::size_t i = 0; i < block.home.size(); ++i) {
             if (block.home[i].worker != s.worker)
@@ -33,8 +32,8 @@
         if (waiting.avoid.contains(s.worker))
             continue;
         if (free_now)
-            s.accelerators = std::min(s.accelerators,
-                                      available(cell, s.worker));
+            s.accelerators =
+                std::min(s.accelerators, available(cell, s.worker));
         if (s.accelerators > 0)
             room.push_back(s);
     }
@@ -158,8 +157,8 @@
 std::optional<reclaim_plan> plan_in_guarantee(cell_state& cell,
                                               const waiting_job& waiting,
                                               time_point now) {
-    const auto& org =
-        cell.organisations[cell.organisation_index.at(waiting.job.organisation)];
+    const auto& org = cell.organisations[cell.organisation_index.at(
+        waiting.job.organisation)];
     if (org.blocks.empty())
         return std::nullopt;
     if (auto plan = plan_free_home(cell, waiting, org.blocks))
--- a/modules/kernel/src/schedule.cpp
+++ b/modules/kernel/src/schedule.cpp
@@ -47,9 +47,9 @@
 }
 
 /// Turns a waiting job into a gang that occupies `shares`.
-decision start_gang(cell_state& cell, const std::string& job,
-                    placement shares, gang_use use, int block,
-                    const std::string& backend, time_point now) {
+decision start_gang(cell_state& cell, const std::string& job, placement shares,
+                    gang_use use, int block, const std::string& backend,
+                    time_point now) {
     gang_state gang;
     gang.id = cell.next_gang++;
     gang.job = cell.waiting.at(job).job;
@@ -98,8 +98,7 @@
         return outcome::placed;
     }
     waiting.waiting_for = fmt::format(
-        "guarantee: {} borrowed gangs are being stopped",
-        plan->victims.size());
+        "guarantee: {} borrowed gangs are being stopped", plan->victims.size());
     hold_claim(p.cell, waiting, *plan, backend, p.now);
     stop_victims(p, *plan, id);
     return outcome::claimed;
@@ -185,9 +184,8 @@
     if (!best)
         return best;
     std::sort(best->workers.begin(), best->workers.end());
-    best->workers.erase(
-        std::unique(best->workers.begin(), best->workers.end()),
-        best->workers.end());
+    best->workers.erase(std::unique(best->workers.begin(), best->workers.end()),
+                        best->workers.end());
     return best;
 }
 
@@ -199,8 +197,8 @@
         shape.within == adjacency::worker)
         return;
     const auto& current = p.cell.reserved;
-    const bool stale = current && current->job == waiting.job.id &&
-                       current->shadow < p.now;
+    const bool stale =
+        current && current->job == waiting.job.id && current->shadow < p.now;
     if (current && !stale)
         return;
     p.reservation_tried = true;
@@ -222,8 +220,7 @@
                       const std::string& backend) {
     if (waiting.job.shape.members == 0) {
         p.decisions.push_back(start_gang(p.cell, waiting.job.id, {},
-                                         gang_use::pinned, -1, backend,
-                                         p.now));
+                                         gang_use::pinned, -1, backend, p.now));
         return outcome::placed;
     }
     const auto result = place_in_guarantee(p, waiting, backend);
@@ -379,7 +376,7 @@
 void adopt_gang(cell_state& cell, const gang_state& running) {
     gang_state gang = running;
     gang.block = gang.shares.empty() ? -1 : block_for(cell, gang);
-    gang.use = gang.block >= 0        ? gang_use::guaranteed
+    gang.use = gang.block >= 0       ? gang_use::guaranteed
                : gang.job.repeatable ? gang_use::borrowed
                                      : gang_use::pinned;
     if (gang.shares.empty())
--- a/modules/kernel/src/workers.cpp
+++ b/modules/kernel/src/workers.cpp
@@ -20,8 +20,8 @@
 
 int available_outside_guarantees(const cell_state& cell, int w) {
     const auto& s = cell.workers[w];
-    return std::max(0, std::min(available(cell, w), s.spec.accelerators -
-                                                        s.homed - s.pinned));
+    return std::max(0, std::min(available(cell, w),
+                                s.spec.accelerators - s.homed - s.pinned));
 }
 
 namespace {
@@ -48,8 +48,8 @@
         ++cell.capacity_version;
 }
 
-int unit_named(std::vector<unit_state>& units, std::map<std::string, int>& index,
-               const std::string& name) {
+int unit_named(std::vector<unit_state>& units,
+               std::map<std::string, int>& index, const std::string& name) {
     auto [it, added] = index.emplace(name, static_cast<int>(units.size()));
     if (added) {
         units.emplace_back();
@@ -132,10 +132,10 @@
 
 void start_quarantine(cell_state& cell, int w, time_point now) {
     with_summaries(cell, w, [&](worker_state& s) {
-        s.quarantine_length = s.quarantine_length.count() == 0
-                                  ? first_quarantine
-                                  : std::min(longest_quarantine,
-                                             s.quarantine_length * 2);
+        s.quarantine_length =
+            s.quarantine_length.count() == 0
+                ? first_quarantine
+                : std::min(longest_quarantine, s.quarantine_length * 2);
         s.quarantined_until = now + s.quarantine_length;
     });
     leave_homes(cell, w);
--- /dev/null
+++ b/modules/net/include/celerylift/net/control_loop.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <celerylift/time.hpp>
+
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace celerylift::net {
+
+/// The thread that owns a process's control state: an ACE reactor with its
+/// timer, its signals and the work that other threads hand to it.
+class control_loop : public ACE_Event_Handler {
+public:
+    control_loop();
+    ~control_loop() override;
+    control_loop(const control_loop&) = delete;
+    control_loop& operator=(const control_loop&) = delete;
+
+    /// Runs `work` on the loop's thread. May be called from any thread.
+    void post(std::function<void()> work);
+
+    /// Calls `tick` every `period`.
+    void every(duration period, std::function<void()> tick);
+
+    /// Calls `input` whenever the descriptor becomes readable.
+    void watch(ACE_HANDLE handle, std::function<void()> input);
+
+    /// Calls `stop` on SIGTERM and SIGINT.
+    void on_termination(std::function<void()> stop);
+
+    /// Runs until end() is called.
+    void run();
+    void end();
+
+    int handle_exception(ACE_HANDLE handle) override;
+    int handle_timeout(const ACE_Time_Value& now, const void* arg) override;
+    int handle_signal(int signal, siginfo_t* info,
+                      ucontext_t* context) override;
+
+private:
+    class input_handler;
+
+    void run_posted();
+
+    ACE_Reactor reactor_;
+    std::mutex mutex_;
+    std::vector<std::function<void()>> posted_;
+    std::function<void()> tick_;
+    std::function<void()> stop_;
+    std::vector<std::unique_ptr<input_handler>> inputs_;
+    long timer_ = -1;
+};
+
+/// Now, by a clock that is not set back.
+time_point monotonic_now();
+
+/// Milliseconds since 1970, for people to read.
+std::int64_t wall_now_ms();
+
+} // namespace celerylift::net
--- /dev/null
+++ b/modules/net/include/celerylift/net/message_node.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <celerylift/base/settings_reader.hpp>
+#include <celerylift/net/control_loop.hpp>
+
+#include <wire.pb.h>
+#include <zmq.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace celerylift::net {
+
+/// A process's end of the links between celerylift's own processes. An entry
+/// listens; entries and agents connect to entries. All calls are made on the
+/// control loop's thread.
+class message_node {
+public:
+    using receiver = std::function<void(const wire::Envelope& envelope)>;
+
+    message_node(control_loop& loop, std::string name, receiver receive);
+
+    void listen(const base::address& at);
+    void connect(const std::string& peer, const base::address& at);
+
+    /// Sends through the connection to that peer or, where there is none, to
+    /// whoever has connected under that name. A message that can't be sent
+    /// at once is dropped; the protocol repeats what matters.
+    void send(const std::string& to, const wire::Envelope& envelope);
+
+    /// Receives all that has arrived. ZeroMQ's descriptor signals changes
+    /// alone, so this is called after each send and on each tick as well.
+    void drain();
+
+    std::uint64_t sent() const { return sent_; }
+    std::uint64_t dropped() const { return dropped_; }
+    std::uint64_t received() const { return received_; }
+    std::uint64_t sent_bytes() const { return sent_bytes_; }
+
+private:
+    void drain(zmq::socket_t& socket, bool is_router);
+    void take(const zmq::message_t& message);
+    void observe(zmq::socket_t& socket);
+
+    control_loop& loop_;
+    std::string name_;
+    receiver receive_;
+    zmq::context_t context_{1};
+    std::optional<zmq::socket_t> router_;
+    std::map<std::string, zmq::socket_t> dealers_;
+    bool draining_ = false;
+    std::uint64_t sent_ = 0;
+    std::uint64_t dropped_ = 0;
+    std::uint64_t received_ = 0;
+    std::uint64_t sent_bytes_ = 0;
+};
+
+} // namespace celerylift::net
--- /dev/null
+++ b/modules/net/src/control_loop.cpp
@@ -0,0 +1,120 @@
+#include <celerylift/net/control_loop.hpp>
+
+#include <ace/Signal.h>
+#include <ace/Thread.h>
+
+#include <chrono>
+#include <memory>
+
+namespace celerylift::net {
+
+/// Forwards a readable descriptor to a function.
+class control_loop::input_handler : public ACE_Event_Handler {
+public:
+    input_handler(ACE_HANDLE handle, std::function<void()> input)
+        : handle_(handle), input_(std::move(input)) {}
+
+    ACE_HANDLE get_handle() const override { return handle_; }
+
+    int handle_input(ACE_HANDLE) override {
+        input_();
+        return 0;
+    }
+
+private:
+    ACE_HANDLE handle_;
+    std::function<void()> input_;
+};
+
+control_loop::control_loop() {
+    reactor(&reactor_);
+}
+
+control_loop::~control_loop() {
+    for (const auto& input : inputs_)
+        reactor_.remove_handler(input.get(), ACE_Event_Handler::READ_MASK |
+                                                 ACE_Event_Handler::DONT_CALL);
+    if (timer_ >= 0)
+        reactor_.cancel_timer(timer_);
+}
+
+void control_loop::post(std::function<void()> work) {
+    bool first = false;
+    {
+        const std::lock_guard lock(mutex_);
+        first = posted_.empty();
+        posted_.push_back(std::move(work));
+    }
+    // One wake-up serves all work that is posted until it is taken.
+    if (first)
+        reactor_.notify(this, ACE_Event_Handler::EXCEPT_MASK);
+}
+
+void control_loop::run_posted() {
+    std::vector<std::function<void()>> work;
+    {
+        const std::lock_guard lock(mutex_);
+        work.swap(posted_);
+    }
+    for (const auto& w : work)
+        w();
+}
+
+int control_loop::handle_exception(ACE_HANDLE) {
+    run_posted();
+    return 0;
+}
+
+void control_loop::every(duration period, std::function<void()> tick) {
+    tick_ = std::move(tick);
+    const ACE_Time_Value interval(
+        static_cast<time_t>(period.count() / 1000),
+        static_cast<suseconds_t>(period.count() % 1000 * 1000));
+    timer_ = reactor_.schedule_timer(this, nullptr, interval, interval);
+}
+
+int control_loop::handle_timeout(const ACE_Time_Value&, const void*) {
+    run_posted();
+    tick_();
+    return 0;
+}
+
+void control_loop::watch(ACE_HANDLE handle, std::function<void()> input) {
+    inputs_.push_back(
+        std::make_unique<input_handler>(handle, std::move(input)));
+    reactor_.register_handler(inputs_.back().get(),
+                              ACE_Event_Handler::READ_MASK);
+}
+
+void control_loop::on_termination(std::function<void()> stop) {
+    stop_ = std::move(stop);
+    reactor_.register_handler(SIGTERM, this);
+    reactor_.register_handler(SIGINT, this);
+}
+
+int control_loop::handle_signal(int, siginfo_t*, ucontext_t*) {
+    post(stop_);
+    return 0;
+}
+
+void control_loop::run() {
+    reactor_.owner(ACE_Thread::self());
+    reactor_.run_reactor_event_loop();
+}
+
+void control_loop::end() {
+    reactor_.end_reactor_event_loop();
+}
+
+time_point monotonic_now() {
+    return time_point{std::chrono::duration_cast<duration>(
+        std::chrono::steady_clock::now().time_since_epoch())};
+}
+
+std::int64_t wall_now_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace celerylift::net
--- /dev/null
+++ b/modules/net/src/message_node.cpp
@@ -0,0 +1,118 @@
+#include <celerylift/net/message_node.hpp>
+
+#include <fmt/format.h>
+
+namespace celerylift::net {
+
+namespace {
+
+constexpr int most_queued_messages = 10'000;
+constexpr int linger_ms = 200;
+constexpr int reconnect_first_ms = 50;
+constexpr int reconnect_longest_ms = 1000;
+constexpr std::int64_t largest_message_bytes = 8 * 1024 * 1024;
+
+void prepare(zmq::socket_t& socket) {
+    socket.set(zmq::sockopt::linger, linger_ms);
+    socket.set(zmq::sockopt::sndhwm, most_queued_messages);
+    socket.set(zmq::sockopt::rcvhwm, most_queued_messages);
+    socket.set(zmq::sockopt::maxmsgsize, largest_message_bytes);
+}
+
+} // namespace
+
+message_node::message_node(control_loop& loop, std::string name,
+                           receiver receive)
+    : loop_(loop), name_(std::move(name)), receive_(std::move(receive)) {}
+
+void message_node::observe(zmq::socket_t& socket) {
+    loop_.watch(socket.get(zmq::sockopt::fd), [this] { drain(); });
+}
+
+void message_node::listen(const base::address& at) {
+    router_.emplace(context_, zmq::socket_type::router);
+    prepare(*router_);
+    // A process that was restarted takes over its name.
+    router_->set(zmq::sockopt::router_handover, true);
+    router_->bind(fmt::format("tcp://{}", to_string(at)));
+    observe(*router_);
+}
+
+void message_node::connect(const std::string& peer, const base::address& at) {
+    auto [it, added] =
+        dealers_.try_emplace(peer, context_, zmq::socket_type::dealer);
+    auto& socket = it->second;
+    prepare(socket);
+    socket.set(zmq::sockopt::routing_id, name_);
+    // Nothing is kept for a peer that is away: late commands are worthless.
+    socket.set(zmq::sockopt::immediate, true);
+    socket.set(zmq::sockopt::reconnect_ivl, reconnect_first_ms);
+    socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_longest_ms);
+    socket.connect(fmt::format("tcp://{}", to_string(at)));
+    observe(socket);
+}
+
+void message_node::send(const std::string& to, const wire::Envelope& envelope) {
+    const auto bytes = envelope.SerializeAsString();
+    bool sent = false;
+    try {
+        if (auto it = dealers_.find(to); it != dealers_.end()) {
+            sent =
+                it->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
+                    .has_value();
+        } else if (router_) {
+            const auto flags =
+                zmq::send_flags::sndmore | zmq::send_flags::dontwait;
+            sent = router_->send(zmq::buffer(to), flags).has_value() &&
+                   router_->send(zmq::buffer(bytes), zmq::send_flags::dontwait)
+                       .has_value();
+        }
+    } catch (const zmq::error_t&) {
+        sent = false; // The peer is away.
+    }
+    if (!sent) {
+        ++dropped_;
+        return;
+    }
+    ++sent_;
+    sent_bytes_ += bytes.size();
+    loop_.post([this] { drain(); });
+}
+
+void message_node::take(const zmq::message_t& message) {
+    wire::Envelope envelope;
+    if (!envelope.ParseFromArray(message.data(),
+                                 static_cast<int>(message.size())))
+        return;
+    ++received_;
+    receive_(envelope);
+}
+
+void message_node::drain(zmq::socket_t& socket, bool is_router) {
+    while (socket.get(zmq::sockopt::events) & ZMQ_POLLIN) {
+        zmq::message_t part;
+        if (!socket.recv(part, zmq::recv_flags::dontwait))
+            return;
+        if (is_router) {
+            // The first part is the sender's name; the envelope repeats it.
+            if (!part.more() || !socket.recv(part, zmq::recv_flags::dontwait))
+                continue;
+        }
+        while (part.more() && socket.recv(part, zmq::recv_flags::dontwait))
+            continue;
+        take(part);
+    }
+}
+
+void message_node::drain() {
+    if (draining_)
+        return;
+    draining_ = true;
+    if (router_)
+        drain(*router_, true);
+    for (auto& [peer, socket] : dealers_)
+        drain(socket, false);
+    draining_ = false;
+}
+
+} // namespace celerylift::net
--- a/modules/protocol/include/celerylift/protocol/owner.hpp
+++ b/modules/protocol/include/celerylift/protocol/owner.hpp
@@ -18,7 +18,14 @@
 namespace celerylift::protocol {
 
 /// The steps by which an entry becomes the owner of a cell and ceases to be.
-enum class owner_phase { loading, sealing, collecting, active, leaving, deposed };
+enum class owner_phase {
+    loading,
+    sealing,
+    collecting,
+    active,
+    leaving,
+    deposed
+};
 
 const char* name_of(owner_phase phase);
 
--- a/modules/protocol/include/celerylift/protocol/platform_calls.hpp
+++ b/modules/protocol/include/celerylift/protocol/platform_calls.hpp
@@ -9,7 +9,14 @@
 namespace celerylift::protocol {
 
 /// What can be asked of the platform's key-value service.
-enum class store_op { get, put, remove, grant_lease, renew_lease, revoke_lease };
+enum class store_op {
+    get,
+    put,
+    remove,
+    grant_lease,
+    renew_lease,
+    revoke_lease
+};
 
 /// The revision to expect of a key that does not exist yet.
 constexpr std::int64_t no_revision = 0;
--- a/modules/protocol/src/agent.cpp
+++ b/modules/protocol/src/agent.cpp
@@ -28,13 +28,12 @@
 /// The owner first, then two or more entries by failure domain.
 std::vector<std::string> entries_by_preference(const agent_state& agent) {
     auto entries = agent.settings.entries;
-    std::sort(entries.begin(), entries.end(),
-              [&](const std::string& a, const std::string& b) {
-                  return std::make_tuple(a != agent.owner,
-                                         preference(agent, a), a) <
-                         std::make_tuple(b != agent.owner,
-                                         preference(agent, b), b);
-              });
+    std::sort(
+        entries.begin(), entries.end(),
+        [&](const std::string& a, const std::string& b) {
+            return std::make_tuple(a != agent.owner, preference(agent, a), a) <
+                   std::make_tuple(b != agent.owner, preference(agent, b), b);
+        });
     return entries;
 }
 
@@ -105,11 +104,9 @@
         send_heartbeat(c, entry);
 }
 
-void take_configuration(const agent_context& c,
-                        const wire::HeartbeatAck& ack) {
-    const bool newer =
-        ack.has_settings() &&
-        ack.configuration_revision() > c.agent.configuration_revision;
+void take_configuration(const agent_context& c, const wire::HeartbeatAck& ack) {
+    const bool newer = ack.has_settings() && ack.configuration_revision() >
+                                                 c.agent.configuration_revision;
     if (!newer)
         return;
     c.agent.configuration_revision = ack.configuration_revision();
@@ -149,10 +146,10 @@
     if (owner.empty() || owner == c.agent.owner)
         return;
     const auto it = c.agent.links.find(c.agent.owner);
-    const bool lost = c.agent.owner.empty() ||
-                      (it != c.agent.links.end() &&
-                       (it->second.dead_until > c.now ||
-                        it->second.unacknowledged > 1));
+    const bool lost =
+        c.agent.owner.empty() ||
+        (it != c.agent.links.end() &&
+         (it->second.dead_until > c.now || it->second.unacknowledged > 1));
     if (!lost)
         return;
     c.agent.owner = owner;
@@ -349,14 +346,13 @@
 }
 
 bool is_idle(const agent_state& agent) {
-    const bool runs = std::any_of(
-        agent.runs.begin(), agent.runs.end(), [](const auto& r) {
+    const bool runs =
+        std::any_of(agent.runs.begin(), agent.runs.end(), [](const auto& r) {
             return r.second.report.outcome() == wire::RUN_PENDING;
         });
     const bool members = std::any_of(
-        agent.members.begin(), agent.members.end(), [](const auto& m) {
-            return m.second.report.state() != wire::STOPPED;
-        });
+        agent.members.begin(), agent.members.end(),
+        [](const auto& m) { return m.second.report.state() != wire::STOPPED; });
     // Outcomes leave once the owner has them on record.
     return !runs && !members && agent.runs.empty();
 }
--- a/modules/protocol/src/agent_members.cpp
+++ b/modules/protocol/src/agent_members.cpp
@@ -17,7 +17,9 @@
 /// Failed calls in a row after which the worker counts as unreachable.
 constexpr int most_worker_failures = 3;
 
-std::string task_of(std::uint64_t gang) { return fmt::format("{:x}", gang); }
+std::string task_of(std::uint64_t gang) {
+    return fmt::format("{:x}", gang);
+}
 
 std::uint64_t gang_of(const std::string& task) {
     return std::strtoull(task.c_str(), nullptr, 16);
@@ -27,7 +29,6 @@
     return m.report.state() < wire::SUCCEEDED;
 }
 
-
 void tell(const agent_context& c, const std::string& to, const agent_member& m,
           bool refused = false, const std::string& detail = {}) {
     if (to.empty())
@@ -116,8 +117,8 @@
         return tell(c, from, it->second, !is_active(it->second),
                     "the gang was released");
     auto m = new_member(reserve, c.now);
-    const int free = c.agent.settings.worker.accelerators -
-                     accelerators_in_use(c.agent);
+    const int free =
+        c.agent.settings.worker.accelerators - accelerators_in_use(c.agent);
     if (reserve.accelerators() > free) {
         m.report.set_state(wire::STOPPED);
         return tell(c, from, m, true,
@@ -180,8 +181,7 @@
         auto it = c.agent.members.find(gang);
         if (it == c.agent.members.end())
             continue;
-        it->second.lease_until =
-            std::max(it->second.lease_until, sent + lease);
+        it->second.lease_until = std::max(it->second.lease_until, sent + lease);
     }
 }
 
--- a/modules/protocol/src/agent_runs.cpp
+++ b/modules/protocol/src/agent_runs.cpp
@@ -70,8 +70,8 @@
     kept.report.set_backend(run.backend());
     kept.report.set_outcome(wire::RUN_PENDING);
     kept.request = c.agent.next_request++;
-    c.out.backend.push_back({kept.request, run.backend(), run.job(),
-                             run.attempt(), run.payload()});
+    c.out.backend.push_back(
+        {kept.request, run.backend(), run.job(), run.attempt(), run.payload()});
     note(c, "request_sent", run.job(), run.backend());
     tell(c, from, kept.report);
 }
@@ -101,8 +101,7 @@
     }
 }
 
-void on_announcement(const agent_context& c,
-                     const announced_backend& backend) {
+void on_announcement(const agent_context& c, const announced_backend& backend) {
     auto& b = c.agent.backends[backend.id];
     const bool is_new = b.id.empty() || (b.leaving && !backend.leaving);
     const int used = b.used;
--- a/modules/protocol/src/convert.cpp
+++ b/modules/protocol/src/convert.cpp
@@ -98,8 +98,8 @@
                                  std::int64_t low, std::int64_t high) {
     if (value >= low && value <= high)
         return std::nullopt;
-    return invalid(fmt::format("{} is {}; allowed is {} to {}", name, value,
-                               low, high));
+    return invalid(
+        fmt::format("{} is {}; allowed is {} to {}", name, value, low, high));
 }
 
 } // namespace
--- a/modules/protocol/src/entry_calls.cpp
+++ b/modules/protocol/src/entry_calls.cpp
@@ -60,13 +60,12 @@
     const auto id = c.entry.next_call++;
     if (c.entry.calls.size() >= most_queued_calls || c.entry.leaving) {
         c.out.replies.push_back(error_reply(
-            id, {c.entry.leaving ? error_kind::unavailable
-                                 : error_kind::overloaded,
-                 c.entry.leaving
-                     ? std::string("this entry is leaving; ask another")
-                     : fmt::format("{} calls wait already; retry later",
-                                   c.entry.calls.size()),
-                 run_state::not_run, overloaded_retry}));
+            id,
+            {c.entry.leaving ? error_kind::unavailable : error_kind::overloaded,
+             c.entry.leaving ? std::string("this entry is leaving; ask another")
+                             : fmt::format("{} calls wait already; retry later",
+                                           c.entry.calls.size()),
+             run_state::not_run, overloaded_retry}));
         return id;
     }
     call.set_id(id);
--- a/modules/protocol/src/entry_ownership.cpp
+++ b/modules/protocol/src/entry_ownership.cpp
@@ -38,8 +38,10 @@
     return std::any_of(
         c.entry.peers.begin(), c.entry.peers.end(), [&](const auto& peer) {
             return !peer.second.leaving &&
-                   c.now < peer.second.heard + peer_is_fresh &&
-                   static_cast<std::size_t>(peer.second.agents_heard) > mine;
+                   c.now<peer.second.heard +
+                         peer_is_fresh&& static_cast<std::size_t>(
+                             peer.second.agents_heard)>
+                       mine;
         });
 }
 
@@ -57,9 +59,8 @@
 void put_owner_key(const entry_context& c) {
     auto& claim = c.entry.claim;
     claim.step = claim_step::putting;
-    claim.write_id =
-        fmt::format("{}/{}/{:x}", c.entry.settings.name, c.entry.next_write++,
-                    c.entry.next_call);
+    claim.write_id = fmt::format("{}/{}/{:x}", c.entry.settings.name,
+                                 c.entry.next_write++, c.entry.next_call);
     wire::OwnerRecord record;
     record.set_owner(c.entry.settings.name);
     record.set_write_id(claim.write_id);
--- a/modules/protocol/src/owner_agents.cpp
+++ b/modules/protocol/src/owner_agents.cpp
@@ -46,8 +46,8 @@
     auto& cell = c.owner.cell;
     const bool known = cell.worker_index.contains(report.id());
     if (!known && report.healthy()) {
-        kernel::worker spec{report.id(), report.rack(),
-                            report.failure_domain(), report.accelerators()};
+        kernel::worker spec{report.id(), report.rack(), report.failure_domain(),
+                            report.accelerators()};
         kernel::add_worker(cell, spec);
         note(c, "worker_joined", report.id(), "agent " + view.name);
     }
@@ -55,9 +55,8 @@
         lose_agent(c, view.name, "its worker is unreachable");
     view.worker_healthy = report.healthy();
     kernel::set_worker_usable(cell, report.id(), report.healthy());
-    kernel::set_worker_draining(cell, report.id(),
-                                view.leaving ||
-                                    is_drained(c.owner, report.id()));
+    kernel::set_worker_draining(
+        cell, report.id(), view.leaving || is_drained(c.owner, report.id()));
 }
 
 void take_backends(const owner_context& c, agent_view& view,
@@ -87,8 +86,8 @@
 void take_heartbeat(const owner_context& c, agent_view& view,
                     const wire::Heartbeat& heartbeat) {
     note_gap(c, view, heartbeat);
-    const bool restarted = view.incarnation != 0 &&
-                           view.incarnation != heartbeat.incarnation();
+    const bool restarted =
+        view.incarnation != 0 && view.incarnation != heartbeat.incarnation();
     if (restarted)
         lose_agent(c, view.name, "the agent was restarted");
     if (view.silent) {
@@ -230,8 +229,8 @@
 whole_gang(const job_reports& reports) {
     for (const auto& gang : reports.gangs) {
         const auto& members = gang.second;
-        const bool running = std::all_of(
-            members.begin(), members.end(), [](const auto& m) {
+        const bool running =
+            std::all_of(members.begin(), members.end(), [](const auto& m) {
                 return m.second.state() == wire::STARTED ||
                        m.second.state() == wire::SUCCEEDED;
             });
@@ -395,11 +394,11 @@
                               std::nullopt);
         const bool failed = run.outcome() == wire::RUN_FAILED;
         if (failed && !is_repeatable(job))
-            return finish_job(c, job, api::FAILED, "",
-                              error{error_kind::execution_failed,
-                                    "the backend server failed it: " +
-                                        run.detail(),
-                                    run_state::ran, duration{0}});
+            return finish_job(
+                c, job, api::FAILED, "",
+                error{error_kind::execution_failed,
+                      "the backend server failed it: " + run.detail(),
+                      run_state::ran, duration{0}});
     }
     if (is_adoptable(job, reports) && workers_known(c.owner, reports)) {
         c.owner.unresolved.erase(id_of(job));
@@ -452,9 +451,9 @@
 
 void watch_deadline(const owner_context& c, const live_job& job) {
     if (job.record.spec().deadline_ms() > 0)
-        c.owner.deadlines.emplace(
-            job.accepted + duration{job.record.spec().deadline_ms()},
-            id_of(job));
+        c.owner.deadlines.emplace(job.accepted +
+                                      duration{job.record.spec().deadline_ms()},
+                                  id_of(job));
 }
 
 void become_active(const owner_context& c) {
@@ -479,9 +478,8 @@
 
 void tick_collecting(const owner_context& c) {
     const bool all_reported = std::all_of(
-        c.owner.agents.begin(), c.owner.agents.end(), [&](const auto& a) {
-            return c.owner.reports.contains(a.first);
-        });
+        c.owner.agents.begin(), c.owner.agents.end(),
+        [&](const auto& a) { return c.owner.reports.contains(a.first); });
     const auto age = c.now - c.owner.phase_since;
     const bool waited = age >= 2 * heartbeat_period(c.owner);
     if ((all_reported && waited) || age >= collect_limit)
--- a/modules/protocol/src/owner_calls.cpp
+++ b/modules/protocol/src/owner_calls.cpp
@@ -46,8 +46,7 @@
 
 std::optional<error> check_page(const owner_context& c, int page,
                                 const api::JobSpec& spec) {
-    const auto size =
-        c.owner.pages[page].bytes + spec.ByteSizeLong();
+    const auto size = c.owner.pages[page].bytes + spec.ByteSizeLong();
     if (size < full_page_bytes)
         return std::nullopt;
     return error{error_kind::overloaded,
@@ -122,25 +121,24 @@
     if (it == c.owner.jobs.end())
         return reply_error(c, who, no_such_job(request.id()));
     auto& job = it->second;
-    const auto timeout = std::clamp(duration{request.timeout_ms()},
-                                    duration{0}, call_limit);
-    const bool told = is_terminal(job) &&
-                      (job.durable || store_is_down(c.owner));
+    const auto timeout =
+        std::clamp(duration{request.timeout_ms()}, duration{0}, call_limit);
+    const bool told =
+        is_terminal(job) && (job.durable || store_is_down(c.owner));
     if (told || timeout.count() == 0) {
         wire::ApiReply answer;
         *answer.mutable_job() = status_of(c.owner, job);
         return reply(c, who, std::move(answer));
     }
-    const bool waits = std::any_of(
-        job.waiters.begin(), job.waiters.end(),
-        [&](const waiter& w) { return w.who == who; });
+    const bool waits =
+        std::any_of(job.waiters.begin(), job.waiters.end(),
+                    [&](const waiter& w) { return w.who == who; });
     if (!waits)
         job.waiters.push_back({who, c.now + timeout});
     c.owner.with_waiters.insert(request.id());
 }
 
-void get_job(const owner_context& c, const caller& who,
-             const std::string& id) {
+void get_job(const owner_context& c, const caller& who, const std::string& id) {
     auto it = c.owner.jobs.find(id);
     if (it == c.owner.jobs.end())
         return reply_error(c, who, no_such_job(id));
@@ -274,14 +272,12 @@
     for (const auto& [name, view] : c.owner.agents)
         heard += view.silent ? 0 : 1;
     out->set_agents(heard);
-    out->set_configuration_revision(
-        c.owner.configuration.current.revision());
+    out->set_configuration_revision(c.owner.configuration.current.revision());
     out->set_takeover_ms(c.owner.takeover_ms);
     reply(c, who, std::move(answer));
 }
 
-void explain(const owner_context& c, const caller& who,
-             const std::string& id) {
+void explain(const owner_context& c, const caller& who, const std::string& id) {
     if (!c.owner.jobs.contains(id))
         return reply_error(c, who, no_such_job(id));
     start_query(c, who, id, true, 0);
@@ -331,8 +327,7 @@
 
 void on_call(const owner_context& c, const caller& who,
              const wire::ApiCall& call) {
-    const bool shows_cell =
-        call.request_case() == wire::ApiCall::kShowCell;
+    const bool shows_cell = call.request_case() == wire::ApiCall::kShowCell;
     if (c.owner.phase != owner_phase::active && !shows_cell) {
         const bool leaves = c.owner.phase == owner_phase::leaving ||
                             c.owner.phase == owner_phase::deposed;
--- a/modules/protocol/src/owner_config.cpp
+++ b/modules/protocol/src/owner_config.cpp
@@ -65,10 +65,10 @@
                     const api::RemoveOrganisationRequest& request) {
     auto* record = find_record(doc, request.name());
     if (!record)
-        return error{error_kind::not_found,
-                     fmt::format("organisation '{}' does not exist",
-                                 request.name()),
-                     run_state::not_run, duration{0}};
+        return error{
+            error_kind::not_found,
+            fmt::format("organisation '{}' does not exist", request.name()),
+            run_state::not_run, duration{0}};
     if (record->revision() != request.expected_revision())
         return conflict("organisation " + request.name(),
                         request.expected_revision(), record->revision());
@@ -269,8 +269,7 @@
     state.retry_at = c.now + state.pause;
 }
 
-void configuration_is_loaded(const owner_context& c,
-                             const store_reply& reply) {
+void configuration_is_loaded(const owner_context& c, const store_reply& reply) {
     auto& state = c.owner.configuration;
     state.loaded = true;
     state.revision = no_revision;
@@ -294,8 +293,7 @@
     auto& cell = c.owner.cell;
     cell.fragmentation_weight = settings.fragmentation_weight();
     cell.default_queue_limit = settings.queue_limit();
-    if (const auto* policy =
-            kernel::find_policy(settings.placement_policy()))
+    if (const auto* policy = kernel::find_policy(settings.placement_policy()))
         cell.policy = policy;
     ++cell.capacity_version;
 }
--- a/modules/protocol/src/owner_explain.cpp
+++ b/modules/protocol/src/owner_explain.cpp
@@ -44,9 +44,10 @@
 void answer_time_line(const owner_context& c, const events_query& query) {
     wire::ApiReply answer;
     auto* line = answer.mutable_time_line();
-    const auto skip = query.events.size() > static_cast<std::size_t>(query.limit)
-                          ? query.events.size() - query.limit
-                          : 0;
+    const auto skip =
+        query.events.size() > static_cast<std::size_t>(query.limit)
+            ? query.events.size() - query.limit
+            : 0;
     for (std::size_t i = skip; i < query.events.size(); ++i)
         *line->add_events() = to_api_event(query.events[i]);
     for (const auto& process : query.waiting_for)
@@ -59,8 +60,7 @@
     if (it == c.owner.jobs.end())
         return;
     wire::ApiReply answer;
-    *answer.mutable_explanation() =
-        explain_job(c.owner, it->second, c.wall_ms);
+    *answer.mutable_explanation() = explain_job(c.owner, it->second, c.wall_ms);
     for (const auto& e : query.events)
         *answer.mutable_explanation()->add_events() = to_api_event(e);
     reply(c, query.who, std::move(answer));
@@ -100,8 +100,7 @@
 void on_events_reply(const owner_context& c, const std::string& from,
                      const wire::EventsReply& reply) {
     auto it = c.owner.queries.find(reply.id());
-    if (it == c.owner.queries.end() ||
-        it->second.waiting_for.erase(from) == 0)
+    if (it == c.owner.queries.end() || it->second.waiting_for.erase(from) == 0)
         return;
     for (const auto& e : reply.events())
         it->second.events.push_back({e.process(), e.clock(), e.wall_ms(),
@@ -205,8 +204,8 @@
 }
 
 bool has_lost_worker(const live_job& job) {
-    return std::any_of(job.record.history().begin(),
-                       job.record.history().end(), [](const auto& step) {
+    return std::any_of(job.record.history().begin(), job.record.history().end(),
+                       [](const auto& step) {
                            return step.reason() ==
                                   "starts again after a failure";
                        });
--- a/modules/protocol/src/owner_gangs.cpp
+++ b/modules/protocol/src/owner_gangs.cpp
@@ -20,9 +20,8 @@
 }
 
 bool all_members(const gang_run& run, wire::MemberState state) {
-    return std::all_of(
-        run.members.begin(), run.members.end(),
-        [&](const gang_member& m) { return m.state == state; });
+    return std::all_of(run.members.begin(), run.members.end(),
+                       [&](const gang_member& m) { return m.state == state; });
 }
 
 std::string gang_name(const gang_run& run) {
@@ -322,16 +321,15 @@
         all_started(c, run);
 }
 
-void begin_release(const owner_context& c, gang_run& run,
-                   release_reason reason, duration grace) {
+void begin_release(const owner_context& c, gang_run& run, release_reason reason,
+                   duration grace) {
     if (run.phase == gang_phase::releasing)
         return;
     enter_phase(c, run, gang_phase::releasing);
     run.reason = reason;
     run.grace = grace;
     note(c, "gang_release", run.job, gang_name(run));
-    const auto bound =
-        c.now + grace + gang_lease(c.owner) + lease_margin;
+    const auto bound = c.now + grace + gang_lease(c.owner) + lease_margin;
     for (auto& m : run.members) {
         if (m.gone)
             continue;
@@ -344,8 +342,7 @@
 }
 
 void check_progress(const owner_context& c, gang_run& run) {
-    if (run.phase == gang_phase::reserving &&
-        all_members(run, wire::RESERVED))
+    if (run.phase == gang_phase::reserving && all_members(run, wire::RESERVED))
         begin_intent(c, run);
     else if (run.phase == gang_phase::starting &&
              all_members(run, wire::STARTED))
@@ -367,8 +364,7 @@
     auto& job = job_of(c, run);
     job.failed_on.insert(m.worker);
     if (kernel::record_task(c.owner.cell, m.worker, run.job, false, c.now))
-        note(c, "worker_quarantined",
-             c.owner.cell.workers[m.worker].spec.id);
+        note(c, "worker_quarantined", c.owner.cell.workers[m.worker].spec.id);
     begin_release(c, run, release_reason::member_failed);
 }
 
@@ -413,8 +409,8 @@
                       const wire::MemberReport& report, bool refused,
                       const std::string& detail) {
     auto it = c.owner.gangs.find(report.gang());
-    auto* m = it == c.owner.gangs.end() ? nullptr
-                                        : member_at(it->second, agent);
+    auto* m =
+        it == c.owner.gangs.end() ? nullptr : member_at(it->second, agent);
     if (!m)
         return answer_stray(c, agent, report);
     // An agent that was restarted can't speak for what ran before.
@@ -456,8 +452,8 @@
                    const std::string& detail) {
     const auto most = c.owner.configuration.current.settings().max_attempts();
     auto run = c.owner.gangs.find(job.gang);
-    const bool last = !is_repeatable(job) ||
-                      job.record.status().attempts() >= most;
+    const bool last =
+        !is_repeatable(job) || job.record.status().attempts() >= most;
     if (last)
         finish_job(c, job, api::FAILED, "",
                    error{error_kind::execution_failed,
@@ -539,10 +535,9 @@
         return;
     }
     auto run = c.owner.gangs.find(job.gang);
-    const bool current = run != c.owner.gangs.end() &&
-                         run->first == report.attempt() &&
-                         run->second.run_sent &&
-                         run->second.phase == gang_phase::running;
+    const bool current =
+        run != c.owner.gangs.end() && run->first == report.attempt() &&
+        run->second.run_sent && run->second.phase == gang_phase::running;
     if (report.outcome() == wire::RUN_DONE)
         return run_done(c, job, report);
     if (!current) {
--- a/modules/protocol/src/owner_internal.hpp
+++ b/modules/protocol/src/owner_internal.hpp
@@ -76,8 +76,8 @@
 
 void run_schedule(const owner_context& c);
 void begin_start(const owner_context& c, gang_run& run);
-void begin_release(const owner_context& c, gang_run& run,
-                   release_reason reason, duration grace = duration{0});
+void begin_release(const owner_context& c, gang_run& run, release_reason reason,
+                   duration grace = duration{0});
 void check_progress(const owner_context& c, gang_run& run);
 void lose_agent(const owner_context& c, const std::string& agent,
                 const std::string& why);
--- a/modules/protocol/src/owner_jobs.cpp
+++ b/modules/protocol/src/owner_jobs.cpp
@@ -13,9 +13,13 @@
 constexpr int longest_history = 64;
 }
 
-const std::string& id_of(const live_job& job) { return job.record.spec().id(); }
+const std::string& id_of(const live_job& job) {
+    return job.record.spec().id();
+}
 
-bool is_terminal(api::JobState state) { return state >= api::ANSWERED; }
+bool is_terminal(api::JobState state) {
+    return state >= api::ANSWERED;
+}
 
 bool is_terminal(const live_job& job) {
     return is_terminal(job.record.status().state());
@@ -129,11 +133,11 @@
         return;
     error e = why;
     auto run = c.owner.gangs.find(job.gang);
-    const bool sent = run != c.owner.gangs.end() &&
-                      run->second.phase >= gang_phase::starting;
+    const bool sent =
+        run != c.owner.gangs.end() && run->second.phase >= gang_phase::starting;
     e.ran = sent || job.record.intent() ? run_state::ran : run_state::not_run;
-    const auto state = why.kind == error_kind::cancelled ? api::JOB_CANCELLED
-                                                         : api::FAILED;
+    const auto state =
+        why.kind == error_kind::cancelled ? api::JOB_CANCELLED : api::FAILED;
     if (c.owner.unresolved.contains(id_of(job)))
         e.ran = run_state::unknown;
     finish_job(c, job, state, "", e);
@@ -151,8 +155,8 @@
         if (job.retry_at > c.now)
             continue;
         c.owner.parked.erase(id);
-        kernel::enqueue(c.owner.cell, from_api(job.record.spec()),
-                        job.accepted, job.failed_on);
+        kernel::enqueue(c.owner.cell, from_api(job.record.spec()), job.accepted,
+                        job.failed_on);
     }
 }
 
--- a/modules/protocol/src/owner_pages.cpp
+++ b/modules/protocol/src/owner_pages.cpp
@@ -111,8 +111,8 @@
     if (!stored.ParseFromString(reply.value))
         return be_deposed(c, "a page of job records is unreadable");
     if (stored.epoch() > c.owner.epoch)
-        return be_deposed(c, fmt::format("a page was sealed by epoch {}",
-                                         stored.epoch()));
+        return be_deposed(
+            c, fmt::format("a page was sealed by epoch {}", stored.epoch()));
     page.revision = reply.revision;
     if (stored.write_id() == page.write_id)
         return page_is_durable(c, page);
@@ -221,9 +221,8 @@
 void seal_pages(const owner_context& c) {
     flush_pages(c);
     const bool sealed = std::all_of(
-        c.owner.pages.begin(), c.owner.pages.end(), [](const page_state& p) {
-            return p.sealed && p.durable_version > 0;
-        });
+        c.owner.pages.begin(), c.owner.pages.end(),
+        [](const page_state& p) { return p.sealed && p.durable_version > 0; });
     if (!sealed)
         return;
     change_phase(c, owner_phase::collecting);
@@ -304,8 +303,7 @@
         page.steps.clear();
         for (auto& step : steps) {
             auto it = c.owner.jobs.find(step.job);
-            if (it != c.owner.jobs.end() &&
-                step.step == durable_step::announce)
+            if (it != c.owner.jobs.end() && step.step == durable_step::announce)
                 announce_outcome(c, it->second);
             if (may_proceed(c, step))
                 admit_job(c, it->second, false);
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -29,7 +29,8 @@
     changes_after(const std::string& prefix, std::int64_t revision) const;
 
     /// The keys with that prefix as they are now.
-    std::vector<protocol::watch_event> snapshot(const std::string& prefix) const;
+    std::vector<protocol::watch_event>
+    snapshot(const std::string& prefix) const;
 
     std::int64_t revision() const { return revision_; }
     std::uint64_t writes() const { return writes_; }
--- a/tests/fakes/fake_worker.cpp
+++ b/tests/fakes/fake_worker.cpp
@@ -24,8 +24,7 @@
 
 } // namespace
 
-worker_reply fake_worker::apply(const worker_request& request,
-                                time_point now) {
+worker_reply fake_worker::apply(const worker_request& request, time_point now) {
     advance(now);
     worker_reply reply;
     reply.id = request.id;
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -13,9 +13,8 @@
 protected:
     void SetUp() override {
         ASSERT_TRUE(cell.run_until([&] { return !cell.owner().empty(); }));
-        ASSERT_TRUE(cell.run_until([&] {
-            return cell.owner_state()->cell.workers.size() == 6;
-        }));
+        ASSERT_TRUE(cell.run_until(
+            [&] { return cell.owner_state()->cell.workers.size() == 6; }));
         const auto kwela = cell.ask(
             "entry-1", put_organisation("kwela", 1, shape(3, 8, api::RACK)));
         ASSERT_EQ(kwela.error().message(), "");
@@ -74,10 +73,10 @@
 class a_gang : public a_cell_at_work {};
 
 TEST_F(a_gang, of_three_workers_starts_on_all_of_them) {
-    cell.ask("entry-1", submit(gang_job("g-1", "kwela",
-                                        shape(3, 8, api::RACK), 3000)));
-    ASSERT_TRUE(cell.run_until([&] { return busy_workers() == 3; },
-                               duration{5000}));
+    cell.ask("entry-1",
+             submit(gang_job("g-1", "kwela", shape(3, 8, api::RACK), 3000)));
+    ASSERT_TRUE(
+        cell.run_until([&] { return busy_workers() == 3; }, duration{5000}));
     const auto status = outcome("g-1");
     EXPECT_EQ(status.state(), api::ANSWERED);
     EXPECT_EQ(status.members_size(), 3);
@@ -96,8 +95,8 @@
         m.report.set_accelerators(1);
         m.lease_until = cell.now() + duration{500};
     }
-    cell.ask("entry-1", submit(gang_job("g-1", "kwela",
-                                        shape(3, 8, api::RACK), 1000)));
+    cell.ask("entry-1",
+             submit(gang_job("g-1", "kwela", shape(3, 8, api::RACK), 1000)));
     cell.run_for(duration{100});
     EXPECT_EQ(busy_workers(), 0);
     EXPECT_EQ(outcome("g-1").state(), api::ANSWERED);
@@ -120,21 +119,21 @@
                  submit(gang_job("b-" + std::to_string(i), "sump",
                                  shape(1, 8, api::WORKER), 600'000)));
     ASSERT_TRUE(cell.run_until([&] { return busy_workers() == 6; }));
-    cell.ask("entry-1", submit(gang_job("g-1", "kwela",
-                                        shape(3, 8, api::RACK), 1000)));
+    cell.ask("entry-1",
+             submit(gang_job("g-1", "kwela", shape(3, 8, api::RACK), 1000)));
     const auto status = outcome("g-1");
     EXPECT_EQ(status.state(), api::ANSWERED);
 }
 
 TEST_F(a_gang, that_is_cancelled_frees_its_workers) {
-    cell.ask("entry-1", submit(gang_job("g-1", "kwela",
-                                        shape(3, 8, api::RACK), 600'000)));
+    cell.ask("entry-1",
+             submit(gang_job("g-1", "kwela", shape(3, 8, api::RACK), 600'000)));
     ASSERT_TRUE(cell.run_until([&] { return busy_workers() == 3; }));
     const auto reply = cell.ask("entry-2", cancel("g-1"));
     EXPECT_EQ(reply.job().state(), api::JOB_CANCELLED);
     EXPECT_EQ(reply.job().error().ran(), api::RAN);
-    EXPECT_TRUE(cell.run_until([&] { return busy_workers() == 0; },
-                               duration{2000}));
+    EXPECT_TRUE(
+        cell.run_until([&] { return busy_workers() == 0; }, duration{2000}));
 }
 
 // ...when the owning entry is lost...
@@ -151,8 +150,8 @@
 
 TEST_F(a_lost_owner, is_followed_by_another_that_keeps_running_gangs) {
     const auto first = cell.owner();
-    cell.ask("entry-1", submit(gang_job("g-1", "kwela",
-                                        shape(3, 8, api::RACK), 20'000)));
+    cell.ask("entry-1",
+             submit(gang_job("g-1", "kwela", shape(3, 8, api::RACK), 20'000)));
     ASSERT_TRUE(cell.run_until([&] { return busy_workers() == 3; }));
     cell.kill(first);
     ASSERT_TRUE(cell.run_until([&] { return !cell.owner().empty(); }));
--- a/tests/virtual/virtual_cell.cpp
+++ b/tests/virtual/virtual_cell.cpp
@@ -104,8 +104,8 @@
         if (const auto peer = fmt::format("entry-{}", i); peer != name)
             settings.peers.push_back(peer);
     }
-    const auto seed = static_cast<std::uint64_t>(name.back() - '0') * 100 +
-                      p.life;
+    const auto seed =
+        static_cast<std::uint64_t>(name.back() - '0') * 100 + p.life;
     p.entry = std::make_unique<entry_state>(make_entry(settings, seed, now_));
     p.watched = -1;
     const auto life = p.life;
@@ -171,8 +171,7 @@
         b.service = "quotes";
         b.slots = size_.slots;
         b.announced_until = now_ + announce_ttl;
-        in_agent(name,
-                 [&](const agent_context& c) { on_announcement(c, b); });
+        in_agent(name, [&](const agent_context& c) { on_announcement(c, b); });
     });
 }
 
@@ -260,13 +259,11 @@
         return;
     to_process(to, it->second.life, [=, this] {
         if (processes_.at(to).entry)
-            in_entry(to, [&](const entry_context& c) {
-                on_message(c, envelope);
-            });
+            in_entry(to,
+                     [&](const entry_context& c) { on_message(c, envelope); });
         else
-            in_agent(to, [&](const agent_context& c) {
-                on_message(c, envelope);
-            });
+            in_agent(to,
+                     [&](const agent_context& c) { on_message(c, envelope); });
     });
 }
 
@@ -291,9 +288,8 @@
                                const store_reply& reply, duration after) {
     at(now_ + after, [=, this] {
         to_process(name, life, [=, this] {
-            in_entry(name, [&](const entry_context& c) {
-                on_store_reply(c, reply);
-            });
+            in_entry(name,
+                     [&](const entry_context& c) { on_store_reply(c, reply); });
         });
     });
 }
@@ -311,12 +307,10 @@
                                 : store_.changes_after(prefix, p.watched);
     const bool owned = store_.keys().contains(owner_key(cell_name));
     if (p.watched < 0 && !owned)
-        events.push_back(
-            {owner_key(cell_name), {}, store_.revision(), true});
+        events.push_back({owner_key(cell_name), {}, store_.revision(), true});
     p.watched = store_.revision();
     for (const auto& event : events)
-        in_entry(name,
-                 [&](const entry_context& c) { on_watch(c, event); });
+        in_entry(name, [&](const entry_context& c) { on_watch(c, event); });
 }
 
 void virtual_cell::call_worker(const std::string& name,
@@ -393,13 +387,17 @@
 
 // ---- Faults ----
 
-void virtual_cell::set_store_fault(store_fault fault) { store_fault_ = fault; }
+void virtual_cell::set_store_fault(store_fault fault) {
+    store_fault_ = fault;
+}
 
 void virtual_cell::cut(const std::string& from, const std::string& to) {
     cut_.insert({from, to});
 }
 
-void virtual_cell::heal() { cut_.clear(); }
+void virtual_cell::heal() {
+    cut_.clear();
+}
 
 void virtual_cell::set_worker_reachable(const std::string& agent,
                                         bool reachable) {
@@ -492,11 +490,10 @@
         const auto& log = p.entry ? p.entry->log : p.log;
         events.insert(events.end(), log.events.begin(), log.events.end());
     }
-    std::stable_sort(events.begin(), events.end(),
-                     [](const auto& a, const auto& b) {
-                         return std::tie(a.clock, a.process) <
-                                std::tie(b.clock, b.process);
-                     });
+    std::stable_sort(
+        events.begin(), events.end(), [](const auto& a, const auto& b) {
+            return std::tie(a.clock, a.process) < std::tie(b.clock, b.process);
+        });
     return events;
 }
 
--- a/tests/virtual/virtual_cell.hpp
+++ b/tests/virtual/virtual_cell.hpp
@@ -26,9 +26,9 @@
     int copies = 1;
     duration extra{0};
 };
-using link_rule = std::function<delivery(const std::string& from,
-                                         const std::string& to,
-                                         const wire::Envelope& envelope)>;
+using link_rule =
+    std::function<delivery(const std::string& from, const std::string& to,
+                           const wire::Envelope& envelope)>;
 
 struct cell_size {
     int entries = 3;
