--- a/modules/base/include/celerylift/base/settings_reader.hpp
+++ b/modules/base/include/celerylift/base/settings_reader.hpp
@@ -50,7 +50,7 @@
     const std::string& problem() const { return problem_; }
 
 private:
-    settings_reader(std::string file, std::string path, YAML::Node node);
+    settings_reader(std::string file, std::string path, const YAML::Node& node);
 
     YAML::Node required(const std::string& key);
     void fail(const std::string& key, const std::string& found,
--- a/modules/base/src/settings_reader.cpp
+++ b/modules/base/src/settings_reader.cpp
@@ -32,8 +32,8 @@
 }
 
 settings_reader::settings_reader(std::string file, std::string path,
-                                 YAML::Node node)
-    : file_(std::move(file)), path_(std::move(path)), node_(std::move(node)) {}
+                                 const YAML::Node& node)
+    : file_(std::move(file)), path_(std::move(path)), node_(node) {}
 
 settings_reader settings_reader::open(const std::string& file) {
     settings_reader reader(file, "", YAML::Node());
--- a/modules/net/src/http_server.cpp
+++ b/modules/net/src/http_server.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t largest_body_bytes = 2 * 1024 * 1024;
+constexpr std::size_t largest_body_bytes = 2UL * 1024 * 1024;
 constexpr unsigned most_connections = 256;
 constexpr unsigned connection_timeout_s = 60;
 
--- a/modules/net/src/message_node.cpp
+++ b/modules/net/src/message_node.cpp
@@ -10,7 +10,7 @@
 constexpr int linger_ms = 200;
 constexpr int reconnect_first_ms = 50;
 constexpr int reconnect_longest_ms = 1000;
-constexpr std::int64_t largest_message_bytes = 8 * 1024 * 1024;
+constexpr std::int64_t largest_message_bytes = 8L * 1024 * 1024;
 
 void prepare(zmq::socket_t& socket) {
     socket.set(zmq::sockopt::linger, linger_ms);
--- a/modules/protocol/include/celerylift/protocol/limits.hpp
+++ b/modules/protocol/include/celerylift/protocol/limits.hpp
@@ -21,6 +21,6 @@
 
 /// A page that has grown to this takes no more jobs; the store's values hold
 /// a megabyte.
-constexpr std::size_t full_page_bytes = 768 * 1024;
+constexpr std::size_t full_page_bytes = 768UL * 1024;
 
 } // namespace celerylift::protocol
--- a/modules/protocol/src/agent_members.cpp
+++ b/modules/protocol/src/agent_members.cpp
@@ -303,7 +303,8 @@
     }
     if (reply.status == worker_status::refused) {
         note(c, "start_refused", m.report.job(), reply.detail);
-        return set_state(c, m, wire::TASK_FAILED);
+        m.report.set_ever_started(false);
+        return set_state(c, m, wire::STOPPED);
     }
     set_state(c, m, wire::STARTED);
     if (m.stop_wanted)
--- a/tests/fakes/fake_backend.cpp
+++ b/tests/fakes/fake_backend.cpp
@@ -22,8 +22,10 @@
 }
 
 fake_backend::execution fake_backend::execute(const std::string& job,
-                                              const std::string& payload) {
+                                              const std::string& payload,
+                                              time_point now) {
     ++executions_[job];
+    last_request_ = now;
     return {answer_for(job, payload), work_of(payload)};
 }
 
--- a/tests/fakes/fake_backend.hpp
+++ b/tests/fakes/fake_backend.hpp
@@ -24,7 +24,11 @@
         duration takes{0};
     };
 
-    execution execute(const std::string& job, const std::string& payload);
+    execution execute(const std::string& job, const std::string& payload,
+                      time_point now = {});
+
+    /// When the last request arrived.
+    time_point last_request() const { return last_request_; }
 
     int executions(const std::string& job) const;
     const std::map<std::string, int>& all_executions() const {
@@ -33,6 +37,7 @@
 
 private:
     std::map<std::string, int> executions_;
+    time_point last_request_{};
 };
 
 } // namespace celerylift::fakes
--- a/tests/fakes/fake_store.cpp
+++ b/tests/fakes/fake_store.cpp
@@ -110,6 +110,12 @@
     changes_.push_back({key, {}, ++revision_, true});
 }
 
+void fake_store::lapse_leases(time_point now) {
+    for (auto& [id, l] : leases_)
+        l.until = now;
+    expire(now);
+}
+
 void fake_store::expire(time_point now) {
     for (auto it = leases_.begin(); it != leases_.end();) {
         if (it->second.until > now) {
--- a/tests/fakes/fake_store.hpp
+++ b/tests/fakes/fake_store.hpp
@@ -21,6 +21,9 @@
     protocol::store_reply apply(const protocol::store_request& request,
                                 time_point now);
 
+    /// Ends all leases at once, as a store does that was away.
+    void lapse_leases(time_point now);
+
     /// Removes the keys of leases that have lapsed.
     void expire(time_point now);
 
--- a/tests/fakes/fake_worker.cpp
+++ b/tests/fakes/fake_worker.cpp
@@ -74,6 +74,7 @@
     running_.emplace(request.task, task);
     task_history h;
     h.task = request.task;
+    h.payload = request.payload;
     h.accelerators = request.accelerators;
     h.started = now;
     history_.push_back(h);
@@ -112,6 +113,12 @@
     }
 }
 
+void fake_worker::replace(time_point now) {
+    const auto running = running_;
+    for (const auto& [name, task] : running)
+        end(name, task_state::stopped, now);
+}
+
 int fake_worker::in_use() const {
     int used = 0;
     for (const auto& [name, task] : running_)
--- a/tests/fakes/fake_worker.hpp
+++ b/tests/fakes/fake_worker.hpp
@@ -15,6 +15,7 @@
     /// One task as the worker saw it, for checks after a test.
     struct task_history {
         std::string task;
+        std::string payload;
         int accelerators = 0;
         time_point started{};
         time_point ended = time_point::max();
@@ -31,6 +32,10 @@
     void advance(time_point now);
 
     void fail_every_task(bool fails) { fails_ = fails; }
+
+    /// Ends all tasks and forgets them, as a replaced host does. The history
+    /// is kept for the checks.
+    void replace(time_point now);
     int in_use() const;
     const std::vector<task_history>& history() const { return history_; }
 
--- /dev/null
+++ b/tests/matrix/fault_matrix.cpp
@@ -0,0 +1,238 @@
+// Injects every fault at every step of the life of requests, ownership and
+// departures, and prints one table of what held.
+#include "checks.hpp"
+#include "faults.hpp"
+#include "story.hpp"
+
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <fstream>
+#include <mutex>
+#include <thread>
+
+namespace celerylift::matrix {
+
+namespace {
+
+constexpr const char* usage =
+    R"(fault_matrix: every fault at every step, in virtual time.
+
+Usage:
+  fault_matrix [--fault=NAME] [--with=NAME] [--step=NAME] [--trace] [--table=FILE]
+
+Options:
+  --fault=NAME   Only this fault.
+  --with=NAME    Together with a second fault at the same step.
+  --step=NAME    Only this step.
+  --trace        Print the time line of each violation.
+  --table=FILE   Write the table there as well.
+)";
+
+constexpr duration story_limit{150'000};
+
+/// How long the cell is left alone before the last checks.
+constexpr duration settling{19'000};
+
+/// A step is the first event of that kind, whose detail or subject begins
+/// so.
+struct step {
+    std::string name;
+    story in;
+    std::string kind;
+    std::string begins; // Of the subject or the detail; empty for any.
+};
+
+const std::vector<step>& all_steps() {
+    static const std::vector<step> steps{
+        {"received", story::request, "job_ACCEPTED", "once-gang"},
+        {"durable-queued", story::request, "job_QUEUED", "once-gang"},
+        {"lent", story::request, "job_RESERVING", "borrower"},
+        {"reclaim", story::request, "reclaim", ""},
+        {"checkpoint-stop", story::request, "member_STOPPING", ""},
+        {"placed", story::request, "job_RESERVING", "once-gang"},
+        {"reserved", story::request, "member_RESERVED", "once-gang"},
+        {"starting", story::request, "job_STARTING", "once-gang"},
+        {"started", story::request, "member_STARTED", "once-gang"},
+        {"running", story::request, "job_RUNNING", "once-gang"},
+        {"task-ended", story::request, "member_SUCCEEDED", "once-gang"},
+        {"answered", story::request, "job_ANSWERED", "once-gang"},
+        {"released", story::request, "gang_ended", "once-gang"},
+        {"request-received", story::request, "job_ACCEPTED", "quote-0"},
+        {"request-starting", story::request, "job_STARTING", "quote-0"},
+        {"request-sent", story::request, "request_sent", "quote-0"},
+        {"request-done", story::request, "request_RUN_DONE", "quote-0"},
+        {"request-answered", story::request, "job_ANSWERED", "quote-0"},
+        {"served-gang-started", story::request, "member_STARTED",
+         "served-gang"},
+        {"configuration-accepted", story::request, "configuration",
+         "revision 3"},
+        {"own", story::ownership, "owner_claimed", ""},
+        {"load", story::ownership, "owner_phase", "loading"},
+        {"seal", story::ownership, "owner_phase", "sealing"},
+        {"collect", story::ownership, "owner_phase", "collecting"},
+        {"promise", story::ownership, "promised", ""},
+        {"take-over", story::ownership, "owner_phase", "active"},
+        {"backend-leaving", story::leaving, "backend_leaving", ""},
+        {"agent-leaving", story::leaving, "agent_leaving", ""},
+        {"owner-leaving", story::leaving, "entry_leaving", ""},
+        {"hand-over", story::leaving, "owner_left", ""},
+    };
+    return steps;
+}
+
+bool is_at(const step& s, const base::event& e) {
+    return e.kind == s.kind &&
+           (e.subject.starts_with(s.begins) || e.detail.starts_with(s.begins));
+}
+
+struct matrix_cell {
+    const step* at = nullptr;
+    std::vector<fault_kind> faults;
+    bool reached = false;
+    std::vector<std::string> violations;
+    std::vector<base::event> time_line;
+    std::int64_t begin_ms = 0;
+};
+
+void run_cell(matrix_cell& m) {
+    auto run = begin_story(m.at->in);
+    tell_story(*run);
+    // The step's watch is added to the story's own.
+    std::optional<base::event> reached;
+    run->watch_step([&](const base::event& e) {
+        if (reached || !is_at(*m.at, e))
+            return;
+        reached = e;
+        run->fault_at = run->cell.now();
+        for (const auto& fault : m.faults)
+            fault.inject(*run, e);
+    });
+    run->cell.run_for(duration{12'000});
+    run->cell.run_until([&] { return run->all_ended(); }, story_limit);
+    run->cell.run_for(settling);
+    m.reached = reached.has_value();
+    m.violations = check_all(*run, m.faults);
+    if (!m.violations.empty())
+        m.time_line = run->cell.time_line();
+}
+
+std::string label(const matrix_cell& m) {
+    if (!m.reached)
+        return "n/a";
+    return m.violations.empty() ? "held" : "FAILED";
+}
+
+std::string name_of(const std::vector<fault_kind>& faults) {
+    std::string name;
+    for (const auto& f : faults)
+        name += (name.empty() ? "" : "+") + f.name;
+    return name;
+}
+
+void print_violations(const matrix_cell& m, bool trace) {
+    if (m.violations.empty())
+        return;
+    fmt::print("{} at {}:\n", name_of(m.faults), m.at->name);
+    for (const auto& v : m.violations)
+        fmt::print("  {}\n", v);
+    if (!trace)
+        return;
+    for (const auto& e : m.time_line)
+        fmt::print("    {} {} {:<9} {:<20} {:<14} {}\n", e.wall_ms, e.clock,
+                   e.process, e.kind, e.subject, e.detail);
+}
+
+std::string table_of(const std::vector<matrix_cell>& cells) {
+    std::string table = "| step | fault | result |\n|---|---|---|\n";
+    for (const auto& m : cells)
+        table += fmt::format(
+            "| {} | {} | {} |\n", m.at->name, name_of(m.faults),
+            m.reached ? label(m)
+                      : "not applicable: the step isn't reached in this "
+                        "story");
+    return table;
+}
+
+void run_all(std::vector<matrix_cell>& cells) {
+    std::atomic<std::size_t> next{0};
+    std::vector<std::thread> threads;
+    const auto count = std::max(1U, std::thread::hardware_concurrency());
+    for (unsigned t = 0; t < count; ++t) {
+        threads.emplace_back([&] {
+            for (auto i = next++; i < cells.size(); i = next++)
+                run_cell(cells[i]);
+        });
+    }
+    for (auto& t : threads)
+        t.join();
+}
+
+using command_line = std::map<std::string, docopt::value>;
+
+bool wanted(const command_line& arguments, const char* key,
+            const std::string& name) {
+    return !arguments.at(key) || arguments.at(key).asString() == name;
+}
+
+std::vector<matrix_cell> plan(const command_line& arguments) {
+    std::vector<matrix_cell> cells;
+    for (const auto& s : all_steps()) {
+        for (const auto& f : all_faults()) {
+            if (!wanted(arguments, "--step", s.name) ||
+                !wanted(arguments, "--fault", f.name))
+                continue;
+            matrix_cell m;
+            m.at = &s;
+            m.faults = {f};
+            for (const auto& second : all_faults()) {
+                if (arguments.at("--with") &&
+                    arguments.at("--with").asString() == second.name &&
+                    second.name != f.name)
+                    m.faults.push_back(second);
+            }
+            cells.push_back(std::move(m));
+        }
+    }
+    return cells;
+}
+
+int report(const std::vector<matrix_cell>& cells,
+           const command_line& arguments) {
+    int held = 0;
+    int failed = 0;
+    int not_applicable = 0;
+    for (const auto& m : cells) {
+        print_violations(m, arguments.at("--trace").asBool());
+        held += label(m) == "held" ? 1 : 0;
+        failed += label(m) == "FAILED" ? 1 : 0;
+        not_applicable += label(m) == "n/a" ? 1 : 0;
+    }
+    if (arguments.at("--table"))
+        std::ofstream(arguments.at("--table").asString()) << table_of(cells);
+    fmt::print("fault matrix: {} held, {} failed, {} not applicable\n", held,
+               failed, not_applicable);
+    return failed == 0 && held > 0 ? 0 : 1;
+}
+
+} // namespace
+
+} // namespace celerylift::matrix
+
+int main(int argc, char** argv) {
+    using namespace celerylift::matrix;
+    try {
+        const auto arguments =
+            docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, false);
+        auto cells = plan(arguments);
+        run_all(cells);
+        return report(cells, arguments);
+    } catch (const docopt::DocoptExitHelp&) {
+        fmt::print("{}", usage);
+        return 0;
+    } catch (const std::exception& e) {
+        fmt::print(stderr, "fault_matrix: {}\n", e.what());
+        return 2;
+    }
+}
--- a/tests/virtual/requests.cpp
+++ b/tests/virtual/requests.cpp
@@ -46,7 +46,7 @@
     spec.set_id(id);
     spec.set_organisation(organisation);
     *spec.mutable_gang() = gang;
-    spec.set_payload(fmt::format("run_ms={}", run_ms));
+    spec.set_payload(fmt::format("job={} run_ms={}", id, run_ms));
     spec.set_declared_run_ms(run_ms);
     return spec;
 }
--- a/tests/virtual/virtual_cell.cpp
+++ b/tests/virtual/virtual_cell.cpp
@@ -129,6 +129,7 @@
         make_agent(settings, p.life * 1000 + n, now_));
     p.log = {};
     p.log.process = name;
+    p.shown_events = 0;
     const auto life = p.life;
     at(now_ + tick_period, [=, this] { tick(name, life); });
     at(now_ + duration{1}, [=, this] { announce(name, life); });
@@ -188,6 +189,20 @@
     ++p.life;
     p.entry.reset();
     p.agent.reset();
+    p.shown_events = 0;
+}
+
+void virtual_cell::replace_host(const std::string& agent) {
+    workers_.at(agent).replace(now_);
+    restart(agent);
+}
+
+void virtual_cell::lapse_leases() {
+    store_.lapse_leases(now_);
+}
+
+void virtual_cell::after(duration time, std::function<void()> what) {
+    at(now_ + time, std::move(what));
 }
 
 void virtual_cell::restart(const std::string& name) {
@@ -237,6 +252,21 @@
     for (const auto& request : out.backend)
         call_backend(name, request);
     take_replies(out.replies);
+    show_events(name);
+}
+
+void virtual_cell::show_events(const std::string& name) {
+    auto& p = processes_.at(name);
+    const auto& log = p.entry ? p.entry->log : p.log;
+    const auto total = log.dropped + log.events.size();
+    std::vector<base::event> fresh(
+        log.events.end() - static_cast<std::ptrdiff_t>(total - p.shown_events),
+        log.events.end());
+    p.shown_events = total;
+    if (!observer_)
+        return;
+    for (const auto& e : fresh)
+        observer_(e);
 }
 
 void virtual_cell::send(const std::string& from, message m) {
@@ -336,7 +366,7 @@
     const auto life = processes_.at(name).life;
     at(now_ + platform_latency, [=, this] {
         const auto done =
-            backends_.at(name).execute(request.job, request.payload);
+            backends_.at(name).execute(request.job, request.payload, now_);
         at(now_ + done.takes, [=, this] {
             to_process(name, life, [=, this] {
                 in_agent(name, [&](const agent_context& c) {
--- a/tests/virtual/virtual_cell.hpp
+++ b/tests/virtual/virtual_cell.hpp
@@ -80,6 +80,19 @@
     void heal();
     void set_worker_reachable(const std::string& agent, bool reachable);
     void set_backend_leaving(const std::string& agent);
+    void lapse_leases();
+
+    /// Replaces a host by one with empty memory: its tasks end, and its
+    /// agent starts anew.
+    void replace_host(const std::string& agent);
+
+    /// Calls `what` later, outside all processes.
+    void after(duration time, std::function<void()> what);
+
+    /// Calls `see` with each event, as it happens.
+    void observe(std::function<void(const base::event&)> see) {
+        observer_ = std::move(see);
+    }
 
     // ---- What there is to see ----
 
@@ -114,6 +127,7 @@
         std::unique_ptr<protocol::agent_state> agent;
         base::event_log log; // Of an agent.
         std::int64_t watched = 0;
+        std::uint64_t shown_events = 0;
     };
 
     void at(time_point when, std::function<void()> what);
@@ -124,6 +138,7 @@
     void tick(const std::string& name, std::uint64_t life);
     void exit_if_idle(const std::string& name);
     void perform(const std::string& name, protocol::outbox out);
+    void show_events(const std::string& name);
     void send(const std::string& from, protocol::message message);
     void deliver(const std::string& to, const wire::Envelope& envelope);
     void call_store(const std::string& name,
@@ -158,6 +173,7 @@
     fake_store store_;
     store_fault store_fault_ = store_fault::none;
     link_rule rule_;
+    std::function<void(const base::event&)> observer_;
     std::map<std::uint64_t, std::vector<wire::ApiReply>> replies_;
     std::vector<base::event> past_events_;
 };
