Keep the accelerators of unresolved gangs free of other work

Cause: after a take-over, a job that must not be repeated waits for agents that have not reported, while its members run on agents that have. The owner placed other gangs on those accelerators and then adopted the first one too, so that more was in use than a worker has (assertion in change_usage, with agent-paused and all three cuts). Ruled out: doubled member reports, and the reclaim's claims, which count what they hold. Change: reported members of unresolved jobs are held, and a gang is adopted only where there is room.

--- a/modules/protocol/include/celerylift/protocol/owner.hpp
+++ b/modules/protocol/include/celerylift/protocol/owner.hpp
@@ -201,6 +201,7 @@
     std::multimap<time_point, std::string> deadlines;
     std::map<std::uint64_t, events_query> queries;
     std::set<std::string> unresolved; // Intents without a report so far.
+    std::map<std::string, std::vector<kernel::share>> unresolved_holds;
     std::set<std::string> parked;
     std::set<std::string> with_waiters;
     std::deque<std::pair<time_point, std::string>> finished;
--- a/modules/protocol/src/owner_agents.cpp
+++ b/modules/protocol/src/owner_agents.cpp
@@ -361,6 +361,37 @@
     return intent_evidence::not_started;
 }
 
+/// Keeps accelerators on which members of an unresolved job may run free of
+/// other work until it is known what became of them.
+void hold_reported(const owner_context& c, const std::string& job,
+                   const job_reports& reports) {
+    auto& holds = c.owner.unresolved_holds[job];
+    for (const auto& [gang, members] : reports.gangs) {
+        for (const auto& [agent, m] : members) {
+            auto it = c.owner.cell.worker_index.find(
+                c.owner.agents.at(agent).worker);
+            if (m.state() >= wire::SUCCEEDED ||
+                it == c.owner.cell.worker_index.end())
+                continue;
+            kernel::change_usage(c.owner.cell, it->second, 0,
+                                 m.accelerators());
+            holds.push_back({it->second, m.accelerators()});
+        }
+    }
+}
+
+bool has_room(const owner_state& owner, const job_reports& reports) {
+    for (const auto& [gang, members] : reports.gangs) {
+        for (const auto& [agent, m] : members) {
+            const auto& w = owner.cell.workers.at(
+                owner.cell.worker_index.at(owner.agents.at(agent).worker));
+            if (w.spec.accelerators - w.used < m.accelerators())
+                return false;
+        }
+    }
+    return true;
+}
+
 void finish_unknown(const owner_context& c, live_job& job) {
     finish_job(c, job, api::UNKNOWN, "",
                error{error_kind::outcome_unknown,
@@ -375,7 +406,7 @@
     switch (weigh_intent(c.owner, job, reports)) {
     case intent_evidence::incomplete:
         c.owner.unresolved.insert(id_of(job));
-        return;
+        return hold_reported(c, id_of(job), reports);
     case intent_evidence::not_started:
         c.owner.unresolved.erase(id_of(job));
         return requeue_job(c, job, duration{0}, "proved not to have started");
@@ -386,8 +417,17 @@
 
 } // namespace
 
+void drop_holds(const owner_context& c, const std::string& job) {
+    auto holds = c.owner.unresolved_holds.extract(job);
+    if (holds.empty())
+        return;
+    for (const auto& s : holds.mapped())
+        kernel::change_usage(c.owner.cell, s.worker, 0, -s.accelerators);
+}
+
 void resolve_job(const owner_context& c, live_job& job) {
     const auto reports = reports_about(c.owner, id_of(job));
+    drop_holds(c, id_of(job));
     for (const auto& [agent, run] : reports.runs) {
         if (run.outcome() == wire::RUN_DONE)
             return finish_job(c, job, api::ANSWERED, run.answer(),
@@ -400,7 +440,8 @@
                       "the backend server failed it: " + run.detail(),
                       run_state::ran, duration{0}});
     }
-    if (is_adoptable(job, reports) && workers_known(c.owner, reports)) {
+    if (is_adoptable(job, reports) && workers_known(c.owner, reports) &&
+        has_room(c.owner, reports)) {
         c.owner.unresolved.erase(id_of(job));
         return adopt(c, job, reports);
     }
@@ -418,8 +459,9 @@
     for (const auto& id : ids) {
         auto& job = c.owner.jobs.at(id);
         resolve_job(c, job);
-        if (expired && c.owner.unresolved.contains(id))
-            finish_unknown(c, job);
+        if (!expired || !c.owner.unresolved.contains(id))
+            continue;
+        finish_unknown(c, job);
     }
     if (c.owner.unresolved.empty())
         c.owner.reports.clear();
--- a/modules/protocol/src/owner_internal.hpp
+++ b/modules/protocol/src/owner_internal.hpp
@@ -96,6 +96,9 @@
 void tick_collecting(const owner_context& c);
 void resolve_job(const owner_context& c, live_job& job);
 void tick_unresolved(const owner_context& c);
+
+/// Gives up what is held for a job of which the outcome was unresolved.
+void drop_holds(const owner_context& c, const std::string& job);
 void apply_draining(const owner_context& c);
 
 // ---- Configuration ----
--- a/modules/protocol/src/owner_jobs.cpp
+++ b/modules/protocol/src/owner_jobs.cpp
@@ -84,6 +84,7 @@
     kernel::remove_waiting(c.owner.cell, id_of(job));
     c.owner.parked.erase(id_of(job));
     c.owner.unresolved.erase(id_of(job));
+    drop_holds(c, id_of(job));
     auto* status = job.record.mutable_status();
     status->set_answer(answer);
     if (why)
