Give each call one reply, also when its owner was asked twice

Cause: an entry asks a slow owner again after 1.5 s; the owner then answers both, and the second answer found its way to the caller's side although the call was closed (store slow, replies lost). Ruled out: duplicates on the wire, which the entry's table of calls drops already. Change: replies leave the entry only against an open call.

--- a/modules/protocol/include/celerylift/protocol/outbox.hpp
+++ b/modules/protocol/include/celerylift/protocol/outbox.hpp
@@ -22,6 +22,7 @@
     std::vector<worker_request> worker;
     std::vector<backend_request> backend;
     std::vector<wire::ApiReply> replies; // To callers of this process.
+    std::size_t matched_replies = 0;     // Those with a waiting caller.
 };
 
 } // namespace celerylift::protocol
--- a/modules/protocol/src/entry_calls.cpp
+++ b/modules/protocol/src/entry_calls.cpp
@@ -103,14 +103,23 @@
 }
 
 void collect_replies(const entry_context& c) {
-    std::erase_if(c.out.replies, [&](const wire::ApiReply& reply) {
-        auto it = c.entry.calls.find(reply.id());
-        if (it == c.entry.calls.end())
-            return false;
-        const bool internal = it->second.internal;
-        c.entry.calls.erase(it);
-        return internal;
-    });
+    auto& replies = c.out.replies;
+    auto kept = replies.begin() +
+                static_cast<std::ptrdiff_t>(c.out.matched_replies);
+    for (auto it = kept; it != replies.end(); ++it) {
+        auto call = c.entry.calls.find(it->id());
+        if (call == c.entry.calls.end())
+            continue; // Answered already: the owner was asked twice.
+        const bool internal = call->second.internal;
+        c.entry.calls.erase(call);
+        if (internal)
+            continue;
+        if (kept != it)
+            *kept = std::move(*it);
+        ++kept;
+    }
+    replies.erase(kept, replies.end());
+    c.out.matched_replies = replies.size();
 }
 
 void tick_calls(const entry_context& c) {
