Say of a cancelled job that it did not run only where no start was sent

Cause: whether a job had run was worked out from the gang it had at the time. A job that had run, was reclaimed and waited again was reported as not run when it was cancelled. Ruled out: starts after the cancellation; the fakes show none. Change: each job carries what is known of its starts; one that a new owner reads from the store, and that may be repeated, is unknown, not denied.

--- a/modules/protocol/include/celerylift/protocol/owner.hpp
+++ b/modules/protocol/include/celerylift/protocol/owner.hpp
@@ -77,6 +77,7 @@
     std::vector<waiter> waiters;
     std::vector<caller> submitters; // Wait for the admission.
     bool durable = false;
+    run_state ran = run_state::not_run;
     std::set<int> failed_on; // Workers.
     time_point accepted{};
     time_point finished{};
--- a/modules/protocol/src/owner_agents.cpp
+++ b/modules/protocol/src/owner_agents.cpp
@@ -318,6 +318,7 @@
         gang.shares.push_back({m.worker, m.accelerators});
     kernel::adopt_gang(c.owner.cell, gang);
     job.gang = run.id;
+    job.ran = run_state::ran;
     auto* status = job.record.mutable_status();
     status->set_attempts(std::max(1, status->attempts()));
     set_state(c, job, api::RUNNING, "adopted by a new owner");
--- a/modules/protocol/src/owner_gangs.cpp
+++ b/modules/protocol/src/owner_gangs.cpp
@@ -314,6 +314,7 @@
 
 void begin_start(const owner_context& c, gang_run& run) {
     enter_phase(c, run, gang_phase::starting);
+    job_of(c, run).ran = run_state::ran;
     set_state(c, job_of(c, run), api::STARTING, "");
     for (auto& m : run.members)
         send_start(c, run, m);
--- a/modules/protocol/src/owner_jobs.cpp
+++ b/modules/protocol/src/owner_jobs.cpp
@@ -116,6 +116,7 @@
     set_state(c, job, api::QUEUED, why);
     if (job.record.intent()) {
         // It is proved that nothing started, so the intent is taken back.
+        job.ran = run_state::not_run;
         job.record.set_intent(false);
         job.record.clear_intent_agents();
         touch(c, job);
@@ -133,14 +134,10 @@
     if (is_terminal(job))
         return;
     error e = why;
+    e.ran = job.ran;
     auto run = c.owner.gangs.find(job.gang);
-    const bool sent =
-        run != c.owner.gangs.end() && run->second.phase >= gang_phase::starting;
-    e.ran = sent || job.record.intent() ? run_state::ran : run_state::not_run;
     const auto state =
         why.kind == error_kind::cancelled ? api::JOB_CANCELLED : api::FAILED;
-    if (c.owner.unresolved.contains(id_of(job)))
-        e.ran = run_state::unknown;
     finish_job(c, job, state, "", e);
     if (run != c.owner.gangs.end() &&
         run->second.phase != gang_phase::releasing)
--- a/modules/protocol/src/owner_pages.cpp
+++ b/modules/protocol/src/owner_pages.cpp
@@ -128,6 +128,10 @@
     const auto age = duration{c.wall_ms - record.accepted_wall_ms()};
     job.accepted = c.now - std::max(duration{0}, age);
     job.finished = c.now;
+    // Starts of repeatable work are not on record, so they can't be denied.
+    const bool may_have_run =
+        is_repeatable(job) || job.record.intent() || is_terminal(job);
+    job.ran = may_have_run ? run_state::unknown : run_state::not_run;
     c.owner.pages[p].jobs.insert(record.spec().id());
     if (is_terminal(job))
         c.owner.finished.emplace_back(c.now, record.spec().id());
