Let agents forget an outcome only once it is on record

Cause: the job's mark "durable" told whether the admission was on record, and stayed set when the job ended. While the store was down the owner therefore let agents forget outcomes that were in its memory alone; the next owner found neither outcome nor run and started work that must not be repeated a second time. A start that waited for its record also fitted any later gang of its job. Ruled out: the epoch fence; the first run ended before the owner changed. Change: an ended job is not durable until its outcome is; a waiting start names its gang.

--- a/modules/protocol/include/celerylift/protocol/owner.hpp
+++ b/modules/protocol/include/celerylift/protocol/owner.hpp
@@ -49,6 +49,7 @@
     std::uint64_t version = 0;
     std::string job;
     durable_step step = durable_step::admit;
+    kernel::gang_id gang = 0; // Of a start.
 };
 
 /// One page of job records in the store. Changes that arrive during a write
@@ -76,7 +77,7 @@
     kernel::gang_id gang = 0; // 0: none.
     std::vector<waiter> waiters;
     std::vector<caller> submitters; // Wait for the admission.
-    bool durable = false;
+    bool durable = false; // Whether the store holds the present state.
     run_state ran = run_state::not_run;
     std::set<int> failed_on; // Workers.
     time_point accepted{};
--- a/modules/protocol/src/owner_jobs.cpp
+++ b/modules/protocol/src/owner_jobs.cpp
@@ -91,6 +91,8 @@
         *status->mutable_error() = to_api(*why);
     set_state(c, job, state, why ? why->message : "");
     job.finished = c.now;
+    // Agents keep what they know of the job until its outcome is on record.
+    job.durable = false;
     c.owner.finished.emplace_back(c.now, id_of(job));
     touch(c, job);
     when_durable(c, job, durable_step::announce);
--- a/modules/protocol/src/owner_pages.cpp
+++ b/modules/protocol/src/owner_pages.cpp
@@ -76,8 +76,8 @@
         admit_job(c, job, true);
         break;
     case durable_step::start:
-        if (auto run = c.owner.gangs.find(job.gang);
-            run != c.owner.gangs.end() &&
+        if (auto run = c.owner.gangs.find(step.gang);
+            run != c.owner.gangs.end() && job.gang == step.gang &&
             run->second.phase == gang_phase::intent)
             begin_start(c, run->second);
         break;
@@ -263,7 +263,7 @@
 
 void when_durable(const owner_context& c, live_job& job, durable_step step) {
     auto& page = c.owner.pages[job.page];
-    page.steps.push_back({page.version, id_of(job), step});
+    page.steps.push_back({page.version, id_of(job), step, job.gang});
 }
 
 void flush_pages(const owner_context& c) {
