Make late commands harmless at agents

Cause: an agent forgets an attempt when its outcome is acknowledged. A repeated command to run it, delayed by up to 400 ms, arrived after that and was run as new work (messages-crossed at checkpoint-stop: a request that must not be repeated ran twice). Ruled out: two owners; there was one. Change: commands to begin work carry the last heartbeat that the owner has heard, and an agent drops those whose heartbeat it sent over 20 s ago; it remembers ended gangs and attempts for 60 s.

--- a/modules/protocol/include/celerylift/protocol/agent.hpp
+++ b/modules/protocol/include/celerylift/protocol/agent.hpp
@@ -69,6 +69,7 @@
     std::map<std::string, entry_link> links;
     std::map<std::uint64_t, agent_member> members;
     std::map<std::pair<std::string, std::uint64_t>, agent_run> runs;
+    std::map<std::uint64_t, time_point> retired; // Ended gangs and attempts.
     std::map<std::string, announced_backend> backends;
     std::int64_t configuration_revision = 0;
     celerylift::v1::Settings configuration;
--- a/modules/protocol/include/celerylift/protocol/timing.hpp
+++ b/modules/protocol/include/celerylift/protocol/timing.hpp
@@ -28,6 +28,12 @@
 constexpr duration store_retry_first{100};
 constexpr duration store_retry_longest{2000};
 
+/// An agent obeys a command to begin work only where the owner has heard it
+/// within this time, and remembers ended work for longer than that. So a
+/// command that arrives late or again can't begin work anew.
+constexpr duration command_freshness{20'000};
+constexpr duration retirement{60'000};
+
 /// Added to a lease before its end is relied on by another process, for
 /// clocks that run at slightly different rates.
 constexpr duration lease_margin{500};
--- a/modules/protocol/src/agent.cpp
+++ b/modules/protocol/src/agent.cpp
@@ -178,15 +178,19 @@
 void on_member_ack(const agent_context& c, const wire::MemberAck& ack) {
     auto it = c.agent.members.find(ack.gang());
     if (it != c.agent.members.end() &&
-        it->second.report.state() >= wire::SUCCEEDED)
+        it->second.report.state() >= wire::SUCCEEDED) {
+        retire(c, it->first);
         c.agent.members.erase(it);
+    }
 }
 
 void on_run_ack(const agent_context& c, const wire::RunAck& ack) {
     auto it = c.agent.runs.find({ack.job(), ack.attempt()});
     if (it != c.agent.runs.end() &&
-        it->second.report.outcome() != wire::RUN_PENDING)
+        it->second.report.outcome() != wire::RUN_PENDING) {
+        retire(c, ack.attempt());
         c.agent.runs.erase(it);
+    }
 }
 
 void on_query(const agent_context& c, const std::string& from,
@@ -264,10 +268,24 @@
         *update.mutable_member() = it->second.report;
 }
 
+/// Whether a command to begin work is timely and not a repetition of one
+/// that was carried out.
+bool is_fresh(const agent_context& c, const std::string& from,
+              std::uint64_t gang, std::uint64_t heard) {
+    const auto link = c.agent.links.find(from);
+    if (link == c.agent.links.end() || c.agent.retired.contains(gang))
+        return false;
+    const auto sent = sent_at(link->second, heard);
+    return sent != time_point{} && c.now < sent + command_freshness;
+}
+
 void reserve_if_open(const agent_context& c, const std::string& from,
                      const wire::Reserve& reserve) {
-    if (reserve.incarnation() != c.agent.incarnation)
-        return; // Meant for an earlier life.
+    const bool valid =
+        reserve.incarnation() == c.agent.incarnation &&
+        is_fresh(c, from, reserve.gang(), reserve.heard());
+    if (!valid)
+        return; // Late, or meant for an earlier life.
     const auto why = closed_reason(c);
     if (!why.empty())
         return refuse_member(c, from, reserve.gang(), reserve.job(), why);
@@ -277,7 +295,9 @@
 void run_if_open(const agent_context& c, const std::string& from,
                  const wire::Run& run) {
     const bool known = c.agent.runs.contains({run.job(), run.attempt()});
-    if (run.incarnation() != c.agent.incarnation)
+    const bool valid = run.incarnation() == c.agent.incarnation &&
+                       is_fresh(c, from, run.attempt(), run.heard());
+    if (!valid)
         return;
     if (known || closed_reason(c).empty())
         return on_run(c, from, run);
@@ -330,7 +350,14 @@
     }
 }
 
+void retire(const agent_context& c, std::uint64_t gang) {
+    c.agent.retired[gang] = c.now;
+}
+
 void on_tick(const agent_context& c) {
+    std::erase_if(c.agent.retired, [&](const auto& r) {
+        return c.now >= r.second + retirement;
+    });
     tick_members(c);
     tick_backends(c);
     send_heartbeats(c);
--- a/modules/protocol/src/agent_internal.hpp
+++ b/modules/protocol/src/agent_internal.hpp
@@ -12,6 +12,9 @@
           std::string detail = {});
 duration heartbeat_period(const agent_state& agent);
 
+/// Remembers that this gang or attempt is over.
+void retire(const agent_context& c, std::uint64_t gang);
+
 // ---- Members of gangs ----
 
 void on_reserve(const agent_context& c, const std::string& from,
--- a/modules/protocol/src/owner_gangs.cpp
+++ b/modules/protocol/src/owner_gangs.cpp
@@ -37,6 +37,7 @@
     reserve.set_gang_size(static_cast<int>(run.members.size()));
     reserve.set_lease_ms(static_cast<int>(gang_lease(c.owner).count()));
     reserve.set_incarnation(m.incarnation);
+    reserve.set_heard(c.owner.agents[m.agent].sequence);
     m.last_sent = c.now;
 }
 
@@ -70,6 +71,7 @@
     message.set_backend(run.backend);
     message.set_payload(spec.payload());
     message.set_incarnation(run.backend_incarnation);
+    message.set_heard(c.owner.agents[run.backend_agent].sequence);
     run.run_sent = true;
     run.run_last_sent = c.now;
 }
