Hand what only the old owner knew to the new one

Cause: while the store is down the owner's lease lapses, and when the store is back any entry could claim the cell first. What the old owner had admitted and answered meanwhile was in its memory alone and was lost. Ruled out: loss in the store; nothing had been written. Change: the owner of the last epoch goes first while it is heard, and a deposed owner bequeathes what is not on record to its successor until that one acknowledges it.

--- a/modules/protocol/include/celerylift/protocol/entry.hpp
+++ b/modules/protocol/include/celerylift/protocol/entry.hpp
@@ -25,7 +25,6 @@
     time_point deadline{};
     time_point last_sent{};
     bool forwarded = false;
-    bool internal = false; // Asked by the entry itself; no caller waits.
 };
 
 /// The steps by which an entry wins the owner key.
@@ -66,6 +65,9 @@
     std::map<std::string, std::uint64_t> agent_incarnations;
     std::map<std::string, peer_view> peers;
     std::map<std::uint64_t, pending_call> calls;
+    std::map<std::string, wire::JobRecord> bequests; // Until acknowledged.
+    time_point next_bequest{};
+    std::string last_owner;
     std::uint64_t next_call = 1;
     std::uint64_t next_request = 1;
     std::uint64_t next_write = 1;
--- a/modules/protocol/include/celerylift/protocol/owner.hpp
+++ b/modules/protocol/include/celerylift/protocol/owner.hpp
@@ -247,6 +247,10 @@
 void on_events_reply(const owner_context& c, const std::string& from,
                      const wire::EventsReply& reply);
 
+/// Takes over a job that an earlier owner had not on record.
+void on_bequest(const owner_context& c, const std::string& from,
+                const wire::Bequest& bequest);
+
 /// Takes a reply from the store. Returns false where it isn't the owner's.
 bool on_store_reply(const owner_context& c, const store_reply& reply);
 void on_tick(const owner_context& c);
--- a/modules/protocol/src/entry.cpp
+++ b/modules/protocol/src/entry.cpp
@@ -96,6 +96,8 @@
         on_run_update(owner_of(c), from, envelope.run_update());
     else if (envelope.has_events_reply())
         on_events_reply(owner_of(c), from, envelope.events_reply());
+    else if (envelope.has_bequest())
+        on_bequest(owner_of(c), from, envelope.bequest());
     else if (envelope.has_api_call() && may_answer(c))
         on_call(owner_of(c), {from, envelope.api_call().id()},
                 envelope.api_call());
@@ -164,6 +166,9 @@
     case wire::Envelope::kApiReply:
         take_reply(c, envelope.api_reply());
         break;
+    case wire::Envelope::kBequestAck:
+        c.entry.bequests.erase(envelope.bequest_ack().job());
+        break;
     default:
         to_owner(c, envelope);
         break;
@@ -192,6 +197,7 @@
         on_tick(owner_of(c));
     drop_deposed(c);
     tick_calls(c);
+    send_bequests(c);
     tell_peers(c);
     collect_replies(c);
 }
@@ -209,8 +215,7 @@
 
 bool is_idle(const entry_state& entry) {
     return !entry.owner && entry.claim.step == claim_step::none &&
-           std::all_of(entry.calls.begin(), entry.calls.end(),
-                       [](const auto& call) { return call.second.internal; });
+           entry.calls.empty() && entry.bequests.empty();
 }
 
 } // namespace celerylift::protocol
--- a/modules/protocol/src/entry_calls.cpp
+++ b/modules/protocol/src/entry_calls.cpp
@@ -110,10 +110,7 @@
         auto call = c.entry.calls.find(it->id());
         if (call == c.entry.calls.end())
             continue; // Answered already: the owner was asked twice.
-        const bool internal = call->second.internal;
         c.entry.calls.erase(call);
-        if (internal)
-            continue;
         if (kept != it)
             *kept = std::move(*it);
         ++kept;
--- a/modules/protocol/src/entry_internal.hpp
+++ b/modules/protocol/src/entry_internal.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <celerylift/protocol/entry.hpp>
+#include <celerylift/protocol/job_state.hpp>
 
 namespace celerylift::protocol {
 
@@ -18,6 +19,9 @@
 void tick_ownership(const entry_context& c);
 void drop_deposed(const entry_context& c);
 
+/// Offers what this entry alone knew as an owner to the new owner.
+void send_bequests(const entry_context& c);
+
 /// Whether the lease on the cell holds, or nobody can take it at present.
 bool may_answer(const entry_context& c);
 
--- a/modules/protocol/src/entry_ownership.cpp
+++ b/modules/protocol/src/entry_ownership.cpp
@@ -18,6 +18,7 @@
 constexpr duration claim_deference{1000};
 constexpr duration claim_retry{500};
 constexpr duration peer_is_fresh{2000};
+constexpr duration bequest_period{500};
 
 /// How long a leaving owner waits for the store before it gives up its key.
 constexpr duration flush_limit{5000};
@@ -201,20 +202,25 @@
         renew(c);
 }
 
-/// Gives back to a new owner what only this one had in memory.
-void resubmit_volatile_jobs(const entry_context& c) {
+/// Keeps what is in this owner's memory alone for the new owner.
+void bequeath_volatile_jobs(const entry_context& c) {
     for (const auto& [id, job] : c.entry.owner->jobs) {
-        const auto state = job.record.status().state();
-        if (job.durable || state >= api::ANSWERED ||
-            job.record.spec().not_repeatable())
+        const bool outcome_only = is_ended(job.record.status().state());
+        if (job.durable || job.record.status().state() == api::ACCEPTED)
             continue;
-        wire::ApiCall call;
-        *call.mutable_submit_job()->mutable_job() = job.record.spec();
-        const auto number = on_local_call(c, std::move(call), call_limit);
-        c.entry.calls.at(number).internal = true;
+        if (outcome_only || !job.record.spec().not_repeatable())
+            c.entry.bequests[id] = job.record;
     }
 }
 
+/// The owner of the last epoch keeps its memory if it claims the cell anew,
+/// so it goes first while it is heard.
+bool last_owner_goes_first(const entry_context& c) {
+    auto it = c.entry.peers.find(c.entry.last_owner);
+    return it != c.entry.peers.end() && !it->second.leaving &&
+           c.now < it->second.heard + peer_is_fresh;
+}
+
 } // namespace
 
 bool may_answer(const entry_context& c) {
@@ -230,7 +236,7 @@
     collect_replies(c);
     if (c.entry.owner_name == c.entry.settings.name)
         c.entry.owner_name.clear();
-    resubmit_volatile_jobs(c);
+    bequeath_volatile_jobs(c);
     c.entry.owner.reset();
     c.entry.claim = claim_state{};
     c.entry.claim.not_before = c.now + claim_retry;
@@ -261,6 +267,7 @@
         return; // Left behind by an earlier life of this entry.
     const bool changed = c.entry.owner_name != record.owner();
     c.entry.owner_name = record.owner();
+    c.entry.last_owner = record.owner();
     c.entry.owner_epoch = event.revision;
     if (!changed)
         return;
@@ -301,6 +308,27 @@
     return true;
 }
 
+void send_bequests(const entry_context& c) {
+    const bool own = c.entry.owner &&
+                     c.entry.owner->phase == owner_phase::active;
+    if (c.entry.bequests.empty() || c.now < c.entry.next_bequest)
+        return;
+    c.entry.next_bequest = c.now + bequest_period;
+    if (!own && (c.entry.owner || c.entry.owner_name.empty()))
+        return;
+    const auto bequests = c.entry.bequests;
+    for (const auto& [id, record] : bequests) {
+        wire::Bequest bequest;
+        *bequest.mutable_job() = record;
+        if (own) {
+            on_bequest(owner_of(c), c.entry.settings.name, bequest);
+            c.entry.bequests.erase(id);
+        } else {
+            *send(c, c.entry.owner_name).mutable_bequest() = bequest;
+        }
+    }
+}
+
 void tick_ownership(const entry_context& c) {
     if (c.entry.owner)
         return tick_owning(c);
@@ -309,7 +337,8 @@
     if (!free || c.entry.leaving || claim.step != claim_step::none ||
         c.now < claim.not_before)
         return;
-    if (others_hear_more(c) && c.now < claim.not_before + claim_deference)
+    const bool defers = others_hear_more(c) || last_owner_goes_first(c);
+    if (defers && c.now < claim.not_before + claim_deference)
         return;
     begin_claim(c, false);
 }
--- a/modules/protocol/src/owner_explain.cpp
+++ b/modules/protocol/src/owner_explain.cpp
@@ -177,7 +177,7 @@
     std::vector<api::Phase> phases;
     const auto& history = job.record.history();
     for (int i = 0; i < history.size(); ++i) {
-        if (is_terminal(history[i].state()))
+        if (is_ended(history[i].state()))
             break;
         const auto end =
             i + 1 < history.size() ? history[i + 1].wall_ms() : wall_ms;
--- a/modules/protocol/src/owner_internal.hpp
+++ b/modules/protocol/src/owner_internal.hpp
@@ -3,6 +3,7 @@
 
 #include <celerylift/protocol/owner.hpp>
 
+#include <celerylift/protocol/job_state.hpp>
 #include <celerylift/protocol/limits.hpp>
 #include <celerylift/protocol/timing.hpp>
 
@@ -57,7 +58,6 @@
 // ---- Jobs ----
 
 const std::string& id_of(const live_job& job);
-bool is_terminal(api::JobState state);
 bool is_terminal(const live_job& job);
 bool is_repeatable(const live_job& job);
 void set_state(const owner_context& c, live_job& job, api::JobState state,
--- a/modules/protocol/src/owner_jobs.cpp
+++ b/modules/protocol/src/owner_jobs.cpp
@@ -17,12 +17,10 @@
     return job.record.spec().id();
 }
 
-bool is_terminal(api::JobState state) {
-    return state >= api::ANSWERED;
-}
+
 
 bool is_terminal(const live_job& job) {
-    return is_terminal(job.record.status().state());
+    return is_ended(job.record.status().state());
 }
 
 bool is_repeatable(const live_job& job) {
@@ -33,7 +31,7 @@
                const std::string& reason) {
     auto& record = job.record;
     record.mutable_status()->set_state(state);
-    if (record.history_size() < longest_history || is_terminal(state)) {
+    if (record.history_size() < longest_history || is_ended(state)) {
         auto* step = record.add_history();
         step->set_state(state);
         step->set_wall_ms(c.wall_ms);
@@ -132,18 +130,63 @@
                     job.failed_on);
 }
 
+namespace {
+
+/// Releases the gang of a job that has ended otherwise.
+void cancel_gang(const owner_context& c, const live_job& job) {
+    auto run = c.owner.gangs.find(job.gang);
+    if (run != c.owner.gangs.end())
+        begin_release(c, run->second, release_reason::cancelled);
+}
+
+} // namespace
+
 void cancel_job(const owner_context& c, live_job& job, const error& why) {
     if (is_terminal(job))
         return;
     error e = why;
     e.ran = job.ran;
-    auto run = c.owner.gangs.find(job.gang);
     const auto state =
         why.kind == error_kind::cancelled ? api::JOB_CANCELLED : api::FAILED;
     finish_job(c, job, state, "", e);
-    if (run != c.owner.gangs.end() &&
-        run->second.phase != gang_phase::releasing)
-        begin_release(c, run->second, release_reason::cancelled);
+    cancel_gang(c, job);
+}
+
+void on_bequest(const owner_context& c, const std::string& from,
+                const wire::Bequest& bequest) {
+    if (c.owner.phase != owner_phase::active)
+        return;
+    const auto& record = bequest.job();
+    const auto& id = record.spec().id();
+    auto [it, added] = c.owner.jobs.try_emplace(id);
+    auto& job = it->second;
+    if (added) {
+        job.record.mutable_spec()->CopyFrom(record.spec());
+        job.record.mutable_status()->set_id(id);
+        job.record.set_spec_hash(record.spec_hash());
+        job.record.set_accepted_wall_ms(record.accepted_wall_ms());
+        *job.record.mutable_history() = record.history();
+        job.page = page_of(c.owner, id);
+        job.accepted = c.now;
+        job.ran = run_state::unknown;
+        c.owner.pages[job.page].jobs.insert(id);
+        note(c, "job_bequeathed", id, from);
+        set_state(c, job, api::ACCEPTED, "bequeathed by " + from);
+        touch(c, job);
+        if (!is_ended(record.status().state()))
+            when_durable(c, job, durable_step::admit);
+    }
+    const auto& status = record.status();
+    if (is_ended(status.state()) && !is_terminal(job)) {
+        finish_job(c, job, status.state(), status.answer(),
+                   status.has_error()
+                       ? std::optional(from_api(status.error()))
+                       : std::nullopt);
+        cancel_gang(c, job);
+    }
+    if (from != c.owner.self)
+        send(c, from).mutable_bequest_ack()->set_job(id);
+    flush_pages(c);
 }
 
 namespace {
