Never seal pages that were not loaded

Cause: an owner that lost its lease while it still loaded the cell claimed it again and "resumed": pages that it had not read counted as loaded and empty, and were written over the accepted jobs once the conflict was settled. Ruled out: the store; each write was one that it had been asked for. Change: only an active owner resumes; any other starts to load anew. A loaded page is no longer read a second time before it is sealed.

--- a/modules/protocol/src/entry_ownership.cpp
+++ b/modules/protocol/src/entry_ownership.cpp
@@ -104,7 +104,9 @@
     c.entry.next_renewal = c.now + owner_renewal;
     note(c, "owner_claimed", c.entry.settings.cell,
          fmt::format("epoch {}", epoch));
-    if (claim.resuming && c.entry.owner)
+    const bool resumes = claim.resuming && c.entry.owner &&
+                         c.entry.owner->phase == owner_phase::active;
+    if (resumes)
         return resume_ownership(owner_of(c), epoch);
     c.entry.owner = std::make_unique<owner_state>();
     c.entry.owner->self = c.entry.settings.name;
@@ -173,6 +175,11 @@
     if (reply.status == store_status::unavailable || !c.entry.owner)
         return;
     note(c, "owner_lease_lost", c.entry.settings.cell);
+    // One that has not loaded the cell has nothing to resume.
+    if (c.entry.owner->phase != owner_phase::active) {
+        c.entry.owner->phase = owner_phase::deposed;
+        return;
+    }
     if (c.entry.claim.step == claim_step::none && !c.entry.leaving)
         begin_claim(c, true);
 }
--- a/modules/protocol/src/owner_pages.cpp
+++ b/modules/protocol/src/owner_pages.cpp
@@ -148,6 +148,7 @@
         return be_deposed(c, "a page has a higher epoch");
     page.revision = reply.revision;
     page.bytes = reply.value.size();
+    page.reading_back = false;
     page.version = 1;
     for (const auto& id : page.jobs)
         c.owner.jobs.erase(id);
