Let a planned stop finish its writes, and agents follow the newer owner

Found by pairs of faults (each fault together with one of six others). Causes: (1) a leaving owner gave its key up after 5 s although the store was down and a cancellation was not on record, and others claimed before it could write (cancellation wave with store down). (2) Agents stayed with an owner that had given up the cell but still answered heartbeats: 25 s passed before they promised the new epoch (planned stop with lost replies: 9 cells). (3) The owner's own entry followed the watch and logged an older revision than the owner part had accepted (operators' race with a pause). Ruled out: message loss; the links were whole in all three. Change: entries say whether they hold the cell's state and others wait for that one for 3 s; a leaving owner writes for up to 60 s; an entry that owns nothing names the owner's epoch and agents follow a higher one; an entry follows the owner in it.

--- a/modules/protocol/include/celerylift/protocol/entry.hpp
+++ b/modules/protocol/include/celerylift/protocol/entry.hpp
@@ -45,6 +45,7 @@
     time_point heard{};
     int agents_heard = 0;
     bool leaving = false;
+    bool holds_cell = false;
 };
 
 struct entry_state {
--- a/modules/protocol/include/celerylift/protocol/job_state.hpp
+++ b/modules/protocol/include/celerylift/protocol/job_state.hpp
@@ -5,6 +5,8 @@
 namespace celerylift::protocol {
 
 /// Whether a job in this state has ended for good.
-inline bool is_ended(v1::JobState state) { return state >= v1::ANSWERED; }
+inline bool is_ended(v1::JobState state) {
+    return state >= v1::ANSWERED;
+}
 
 } // namespace celerylift::protocol
--- a/modules/protocol/src/agent.cpp
+++ b/modules/protocol/src/agent.cpp
@@ -142,7 +142,9 @@
     return {};
 }
 
-void follow_hint(const agent_context& c, const std::string& owner) {
+/// An entry that owns nothing names the owner that the store names.
+void follow_hint(const agent_context& c, const wire::HeartbeatAck& ack) {
+    const auto& owner = ack.owner();
     if (owner.empty() || owner == c.agent.owner)
         return;
     const auto it = c.agent.links.find(c.agent.owner);
@@ -150,7 +152,7 @@
         c.agent.owner.empty() ||
         (it != c.agent.links.end() &&
          (it->second.dead_until > c.now || it->second.unacknowledged > 1));
-    if (!lost)
+    if (!lost && ack.owner_epoch() <= c.agent.epoch)
         return;
     c.agent.owner = owner;
     c.agent.links[owner].dead_until = {};
@@ -167,7 +169,7 @@
     link.heard = true;
     take_configuration(c, ack);
     if (ack.epoch() == 0)
-        return follow_hint(c, ack.owner());
+        return follow_hint(c, ack);
     if (!promise(c, from, ack.epoch()))
         return;
     const auto sent = sent_at(link, ack.sequence());
@@ -281,9 +283,8 @@
 
 void reserve_if_open(const agent_context& c, const std::string& from,
                      const wire::Reserve& reserve) {
-    const bool valid =
-        reserve.incarnation() == c.agent.incarnation &&
-        is_fresh(c, from, reserve.gang(), reserve.heard());
+    const bool valid = reserve.incarnation() == c.agent.incarnation &&
+                       is_fresh(c, from, reserve.gang(), reserve.heard());
     if (!valid)
         return; // Late, or meant for an earlier life.
     const auto why = closed_reason(c);
--- a/modules/protocol/src/agent_members.cpp
+++ b/modules/protocol/src/agent_members.cpp
@@ -243,8 +243,8 @@
     const duration kept{10 * c.agent.configuration.gang_lease_ms()};
     std::erase_if(c.agent.members, [&](const auto& entry) {
         const auto& m = entry.second;
-        const bool forgotten = m.report.state() == wire::STOPPED &&
-                               c.now >= m.lease_until + kept;
+        const bool forgotten =
+            m.report.state() == wire::STOPPED && c.now >= m.lease_until + kept;
         if (forgotten)
             retire(c, entry.first);
         return forgotten;
--- a/modules/protocol/src/entry.cpp
+++ b/modules/protocol/src/entry.cpp
@@ -27,6 +27,7 @@
                  const wire::Heartbeat& heartbeat) {
     auto& ack = *send(c, agent).mutable_heartbeat_ack();
     ack.set_owner(c.entry.owner_name);
+    ack.set_owner_epoch(c.entry.owner_epoch);
     ack.set_sequence(heartbeat.sequence());
     ack.set_incarnation(heartbeat.incarnation());
     ack.set_configuration_revision(c.entry.configuration_revision);
@@ -63,7 +64,8 @@
 
 void on_peer_status(const entry_context& c, const std::string& from,
                     const wire::PeerStatus& status) {
-    c.entry.peers[from] = {c.now, status.agents_heard(), status.leaving()};
+    c.entry.peers[from] = {c.now, status.agents_heard(), status.leaving(),
+                           status.holds_cell()};
 }
 
 int count_heard(const entry_context& c) {
@@ -83,6 +85,7 @@
         status.set_owner(c.entry.owner_name);
         status.set_agents_heard(count_heard(c));
         status.set_leaving(c.entry.leaving);
+        status.set_holds_cell(c.entry.owner != nullptr);
     }
 }
 
@@ -176,9 +179,25 @@
     collect_replies(c);
 }
 
+namespace {
+
+/// What the owner in this entry has accepted is in force here at once.
+void follow_owner(const entry_context& c) {
+    if (!c.entry.owner)
+        return;
+    const auto& current = c.entry.owner->configuration.current;
+    if (current.revision() <= c.entry.configuration_revision)
+        return;
+    c.entry.configuration_revision = current.revision();
+    c.entry.configuration = current.settings();
+}
+
+} // namespace
+
 void on_store_reply(const entry_context& c, const store_reply& reply) {
     if (!on_claim_reply(c, reply) && c.entry.owner)
         on_store_reply(owner_of(c), reply);
+    follow_owner(c);
     drop_deposed(c);
     collect_replies(c);
 }
--- a/modules/protocol/src/entry_calls.cpp
+++ b/modules/protocol/src/entry_calls.cpp
@@ -104,8 +104,8 @@
 
 void collect_replies(const entry_context& c) {
     auto& replies = c.out.replies;
-    auto kept = replies.begin() +
-                static_cast<std::ptrdiff_t>(c.out.matched_replies);
+    auto kept =
+        replies.begin() + static_cast<std::ptrdiff_t>(c.out.matched_replies);
     for (auto it = kept; it != replies.end(); ++it) {
         auto call = c.entry.calls.find(it->id());
         if (call == c.entry.calls.end())
--- a/modules/protocol/src/entry_ownership.cpp
+++ b/modules/protocol/src/entry_ownership.cpp
@@ -21,7 +21,11 @@
 constexpr duration bequest_period{500};
 
 /// How long a leaving owner waits for the store before it gives up its key.
-constexpr duration flush_limit{5000};
+constexpr duration flush_limit{60'000};
+
+/// How long others wait for the last owner to come back to the store: longer
+/// than its longest pause between two tries.
+constexpr duration last_owner_deference = store_retry_longest * 3 / 2;
 
 void pause_claim(const entry_context& c, duration pause) {
     c.entry.claim.step = claim_step::none;
@@ -175,6 +179,8 @@
     if (reply.status == store_status::unavailable || !c.entry.owner)
         return;
     note(c, "owner_lease_lost", c.entry.settings.cell);
+    if (c.entry.leaving)
+        return; // It still writes what nobody else has taken over.
     // One that has not loaded the cell has nothing to resume.
     if (c.entry.owner->phase != owner_phase::active) {
         c.entry.owner->phase = owner_phase::deposed;
@@ -224,7 +230,7 @@
 /// so it goes first while it is heard.
 bool last_owner_goes_first(const entry_context& c) {
     auto it = c.entry.peers.find(c.entry.last_owner);
-    return it != c.entry.peers.end() && !it->second.leaving &&
+    return it != c.entry.peers.end() && it->second.holds_cell &&
            c.now < it->second.heard + peer_is_fresh;
 }
 
@@ -245,6 +251,7 @@
         c.entry.owner_name.clear();
     bequeath_volatile_jobs(c);
     c.entry.owner.reset();
+    c.entry.next_status = c.now; // Nobody waits for this entry any more.
     c.entry.claim = claim_state{};
     c.entry.claim.not_before = c.now + claim_retry;
     c.entry.renewal_request = 0;
@@ -316,8 +323,8 @@
 }
 
 void send_bequests(const entry_context& c) {
-    const bool own = c.entry.owner &&
-                     c.entry.owner->phase == owner_phase::active;
+    const bool own =
+        c.entry.owner && c.entry.owner->phase == owner_phase::active;
     if (c.entry.bequests.empty() || c.now < c.entry.next_bequest)
         return;
     c.entry.next_bequest = c.now + bequest_period;
@@ -344,8 +351,10 @@
     if (!free || c.entry.leaving || claim.step != claim_step::none ||
         c.now < claim.not_before)
         return;
-    const bool defers = others_hear_more(c) || last_owner_goes_first(c);
-    if (defers && c.now < claim.not_before + claim_deference)
+    const auto waited = c.now - claim.not_before;
+    if (others_hear_more(c) && waited < claim_deference)
+        return;
+    if (last_owner_goes_first(c) && waited < last_owner_deference)
         return;
     begin_claim(c, false);
 }
--- a/modules/protocol/src/owner_agents.cpp
+++ b/modules/protocol/src/owner_agents.cpp
@@ -369,13 +369,12 @@
     auto& holds = c.owner.unresolved_holds[job];
     for (const auto& [gang, members] : reports.gangs) {
         for (const auto& [agent, m] : members) {
-            auto it = c.owner.cell.worker_index.find(
-                c.owner.agents.at(agent).worker);
+            auto it =
+                c.owner.cell.worker_index.find(c.owner.agents.at(agent).worker);
             if (m.state() >= wire::SUCCEEDED ||
                 it == c.owner.cell.worker_index.end())
                 continue;
-            kernel::change_usage(c.owner.cell, it->second, 0,
-                                 m.accelerators());
+            kernel::change_usage(c.owner.cell, it->second, 0, m.accelerators());
             holds.push_back({it->second, m.accelerators()});
         }
     }
--- a/modules/protocol/src/owner_jobs.cpp
+++ b/modules/protocol/src/owner_jobs.cpp
@@ -17,8 +17,6 @@
     return job.record.spec().id();
 }
 
-
-
 bool is_terminal(const live_job& job) {
     return is_ended(job.record.status().state());
 }
@@ -179,9 +177,8 @@
     const auto& status = record.status();
     if (is_ended(status.state()) && !is_terminal(job)) {
         finish_job(c, job, status.state(), status.answer(),
-                   status.has_error()
-                       ? std::optional(from_api(status.error()))
-                       : std::nullopt);
+                   status.has_error() ? std::optional(from_api(status.error()))
+                                      : std::nullopt);
         cancel_gang(c, job);
     }
     if (from != c.owner.self)
