Use up the tightest block of a guarantee first

Cause: a small job took room in the first block that fitted, so a few small jobs broke every guaranteed rack of their organisation. Ruled out: borrowed gangs, which make way. Change: blocks with the least room left are tried first.

--- a/modules/kernel/src/reclaim.cpp
+++ b/modules/kernel/src/reclaim.cpp
@@ -40,6 +40,22 @@
     return room;
 }
 
+/// Blocks with the least room left first, so that small jobs don't break
+/// what large ones are guaranteed.
+std::vector<int> tightest_first(const cell_state& cell,
+                                std::vector<int> blocks) {
+    const auto room = [&](int b) {
+        int left = 0;
+        for (std::size_t i = 0; i < cell.blocks[b].home.size(); ++i)
+            left += cell.blocks[b].home[i].accelerators -
+                    cell.blocks[b].used[i];
+        return left;
+    };
+    std::stable_sort(blocks.begin(), blocks.end(),
+                     [&](int a, int b) { return room(a) < room(b); });
+    return blocks;
+}
+
 std::optional<reclaim_plan> plan_free_home(const cell_state& cell,
                                            const waiting_job& waiting,
                                            const std::vector<int>& blocks) {
@@ -161,11 +177,12 @@
         waiting.job.organisation)];
     if (org.blocks.empty())
         return std::nullopt;
-    if (auto plan = plan_free_home(cell, waiting, org.blocks))
+    const auto blocks = tightest_first(cell, org.blocks);
+    if (auto plan = plan_free_home(cell, waiting, blocks))
         return plan;
-    if (auto plan = plan_moved_home(cell, waiting, org.blocks))
+    if (auto plan = plan_moved_home(cell, waiting, blocks))
         return plan;
-    return plan_reclaim(cell, waiting, org.blocks, now);
+    return plan_reclaim(cell, waiting, blocks, now);
 }
 
 void hold_claim(cell_state& cell, waiting_job& waiting,
