Move small gangs away for a large one that waits

Cause: with small gangs spread over all racks, a gang of three whole workers waits although as many accelerators are free. Change: where at most fragmentation_weight percent of the gang's accelerators have to move and find room elsewhere, borrowed gangs are checkpointed and started there, and the emptied workers are kept for the large gang.

--- a/modules/kernel/src/reclaim.cpp
+++ b/modules/kernel/src/reclaim.cpp
@@ -47,8 +47,8 @@
     const auto room = [&](int b) {
         int left = 0;
         for (std::size_t i = 0; i < cell.blocks[b].home.size(); ++i)
-            left += cell.blocks[b].home[i].accelerators -
-                    cell.blocks[b].used[i];
+            left +=
+                cell.blocks[b].home[i].accelerators - cell.blocks[b].used[i];
         return left;
     };
     std::stable_sort(blocks.begin(), blocks.end(),
--- a/modules/kernel/src/schedule.cpp
+++ b/modules/kernel/src/schedule.cpp
@@ -2,6 +2,7 @@
 
 #include <celerylift/kernel/estimates.hpp>
 #include <celerylift/kernel/guarantees.hpp>
+#include <celerylift/kernel/migration.hpp>
 #include <celerylift/kernel/policy.hpp>
 #include <celerylift/kernel/queue.hpp>
 #include <celerylift/kernel/reclaim.hpp>
@@ -189,6 +190,24 @@
     return best;
 }
 
+/// How long moved gangs take to make room.
+constexpr duration migration_time{5000};
+
+/// Empties workers for a large gang by moving borrowed gangs away.
+bool migrate_for(pass& p, const waiting_job& waiting) {
+    const auto plan = plan_migration(p.cell, waiting, p.now);
+    if (!plan)
+        return false;
+    p.cell.reserved =
+        reservation{waiting.job.id, plan->workers, p.now + migration_time};
+    for (gang_id id : plan->victims) {
+        auto& victim = p.cell.gangs.at(id);
+        victim.stopping = true;
+        p.decisions.push_back(stop_gang{id, victim.job.id, waiting.job.id});
+    }
+    return true;
+}
+
 /// Keeps room for the first large gang that has to wait.
 void reserve_for(pass& p, const waiting_job& waiting) {
     const auto& shape = waiting.job.shape;
@@ -202,6 +221,8 @@
     if (current && !stale)
         return;
     p.reservation_tried = true;
+    if (migrate_for(p, waiting))
+        return;
     if (auto planned = plan_reservation(p, waiting))
         p.cell.reserved = std::move(planned);
 }
