--- a/modules/kernel/src/migration.cpp
+++ b/modules/kernel/src/migration.cpp
@@ -22,7 +22,7 @@
 }
 
 bool is_movable(const gang_state& gang, time_point now) {
-    return gang.use != gang_use::pinned && gang.job.repeatable && !gang.stopping &&
+    return gang.use == gang_use::borrowed && !gang.stopping &&
            gang.shares.size() == 1 && gang.placed + settled_after <= now &&
            remaining_run(gang, now) >= shortest_remaining_run;
 }
