Name each worker once in a guarantee's home

Ruled out: two claims for one block; there was one. Change: the replaced share is merged with the worker's own.

--- a/modules/kernel/src/guarantees.cpp
+++ b/modules/kernel/src/guarantees.cpp
@@ -347,50 +347,78 @@
 
 namespace {
 
+/// The unit in which all shares of a block must lie, given one of them.
+const unit_state& unit_around(const cell_state& cell, adjacency within, int w) {
+    switch (within) {
+    case adjacency::rack:
+    case adjacency::worker:
+        return cell.racks[cell.workers[w].rack];
+    case adjacency::failure_domain:
+        return cell.domains[cell.workers[w].domain];
+    case adjacency::cell:
+        break;
+    }
+    return cell.whole;
+}
+
+/// Puts a lost share on worker `w`. A worker appears in a home once only.
+void settle_share(cell_state& cell, block_state& block, std::size_t lost,
+                  int w) {
+    cell.workers[w].homed += block.home[lost].accelerators;
+    --cell.lost_shares;
+    for (auto& s : block.home) {
+        if (s.worker != w)
+            continue;
+        s.accelerators += block.home[lost].accelerators;
+        block.home.erase(block.home.begin() +
+                         static_cast<std::ptrdiff_t>(lost));
+        block.used.erase(block.used.begin() +
+                         static_cast<std::ptrdiff_t>(lost));
+        return;
+    }
+    block.home[lost].worker = w;
+}
+
 /// Replaces one lost share by a worker in the unit of the shares that are
 /// left.
 bool replace_share(cell_state& cell, block_state& block, std::size_t lost) {
-    const share* anchor = nullptr;
-    for (const auto& s : block.home)
-        if (s.worker >= 0)
-            anchor = &s;
-    if (!anchor || block.shape.within == adjacency::worker)
+    const auto anchor =
+        std::find_if(block.home.begin(), block.home.end(),
+                     [](const share& s) { return s.worker >= 0; });
+    if (anchor == block.home.end() || block.shape.within == adjacency::worker)
         return false;
-    const auto& at = cell.workers[anchor->worker];
-    const unit_state* unit = &cell.whole;
-    if (block.shape.within == adjacency::rack)
-        unit = &cell.racks[at.rack];
-    else if (block.shape.within == adjacency::failure_domain)
-        unit = &cell.domains[at.domain];
-    for (int w : unit->workers) {
+    const auto& unit = unit_around(cell, block.shape.within, anchor->worker);
+    for (int w : unit.workers) {
         if (home_room(cell, w, false) < block.home[lost].accelerators)
             continue;
-        cell.workers[w].homed += block.home[lost].accelerators;
-        block.home[lost].worker = w;
-        --cell.lost_shares;
+        settle_share(cell, block, lost, w);
         return true;
     }
     return false;
 }
 
+void replace_lost_shares(cell_state& cell, block_state& block) {
+    for (std::size_t i = 0; i < block.home.size();) {
+        const bool lost = block.home[i].worker < 0;
+        if (!lost || !replace_share(cell, block, i))
+            ++i;
+    }
+}
+
 } // namespace
 
 void find_lost_homes(cell_state& cell) {
     if (cell.lost_shares == 0)
         return;
     for (auto& block : cell.blocks) {
-        for (std::size_t i = 0; i < block.home.size(); ++i) {
-            if (block.home[i].worker >= 0 || replace_share(cell, block, i))
-                continue;
-            if (!is_unused(block))
-                break;
-            auto home = pick_home(cell, block.shape, false);
-            if (!home)
-                break;
-            unbind_home(cell, block);
-            bind_home(cell, block, std::move(*home));
-            break;
-        }
+        replace_lost_shares(cell, block);
+        if (!is_homeless(block) || !is_unused(block))
+            continue;
+        auto home = pick_home(cell, block.shape, false);
+        if (!home)
+            continue;
+        unbind_home(cell, block);
+        bind_home(cell, block, std::move(*home));
     }
     if (cell.lost_shares > 0)
         repack_if_better(cell);
