Notice a store outage while idle; name placed jobs safely

An owner without a write on its way never learnt that the store was down; when its lease had lapsed it answered nobody, and repeatable jobs were refused for want of an owner. Change: what the entry's lease renewals meet is told to the owner. Change: the name is taken by value. Ruled out: doubled ids in the arrivals.

--- a/bench/replay.cpp
+++ b/bench/replay.cpp
@@ -89,6 +89,7 @@
 
 void start(replay& r, const place_gang& placed) {
     const auto& gang = r.cell.gangs.at(placed.gang);
+
     auto& job = r.jobs.at(placed.job);
     note_start(r, job, gang);
     const bool fails = std::any_of(
--- a/modules/kernel/src/schedule.cpp
+++ b/modules/kernel/src/schedule.cpp
@@ -48,8 +48,9 @@
         std::erase(cell.workers[s.worker].gangs, gang.id);
 }
 
-/// Turns a waiting job into a gang that occupies `shares`.
-decision start_gang(cell_state& cell, const std::string& job, placement shares,
+/// Turns a waiting job into a gang that occupies `shares`. The name is taken
+/// by value, since the waiting job that may hold it is removed.
+decision start_gang(cell_state& cell, std::string job, placement shares,
                     gang_use use, int block, const std::string& backend,
                     time_point now) {
     gang_state gang;
@@ -64,7 +65,7 @@
     remove_waiting(cell, job);
     count_gang(cell, gang, 1);
     list_gang(cell, gang);
-    const place_gang placed{gang.id, job};
+    place_gang placed{gang.id, std::move(job)};
     cell.gangs.emplace(gang.id, std::move(gang));
     return placed;
 }
--- a/modules/protocol/include/celerylift/protocol/owner.hpp
+++ b/modules/protocol/include/celerylift/protocol/owner.hpp
@@ -230,6 +230,10 @@
 /// new epoch.
 void resume_ownership(const owner_context& c, std::int64_t epoch);
 
+/// Tells the owner whether the store has answered its entry, so that an idle
+/// owner notices an outage too.
+void on_store_contact(const owner_context& c, bool answered);
+
 /// Stops new work and writes what is pending, before the key is given up.
 void begin_leaving(const owner_context& c);
 
--- a/modules/protocol/src/entry_ownership.cpp
+++ b/modules/protocol/src/entry_ownership.cpp
@@ -172,6 +172,9 @@
 
 void on_renewed(const entry_context& c, const store_reply& reply) {
     c.entry.renewal_request = 0;
+    if (c.entry.owner)
+        on_store_contact(owner_of(c),
+                         reply.status != store_status::unavailable);
     if (reply.status == store_status::ok) {
         c.entry.claim.lease_until = c.entry.renewal_sent + owner_lease;
         return;
--- a/modules/protocol/src/owner.cpp
+++ b/modules/protocol/src/owner.cpp
@@ -128,6 +128,13 @@
         change_phase(c, owner_phase::leaving);
 }
 
+void on_store_contact(const owner_context& c, bool answered) {
+    if (answered)
+        store_answered(c);
+    else
+        store_failed(c);
+}
+
 bool is_flushed(const owner_state& owner) {
     return std::all_of(owner.pages.begin(), owner.pages.end(),
                        [](const page_state& p) {
