--- a/modules/agent/src/agent_process.cpp
+++ b/modules/agent/src/agent_process.cpp
@@ -1,14 +1,13 @@
 #include "agent_process.hpp"
 
 #include <celerylift/base/log.hpp>
-#include <celerylift/net/event_json.hpp>
+#include <celerylift/net/common_pages.hpp>
 #include <celerylift/platform/platform_client.hpp>
 #include <celerylift/protocol/timing.hpp>
 
 #include <arpa/inet.h>
 
 #include <cstdlib>
-#include <future>
 #include <random>
 
 namespace celerylift::agent {
@@ -25,7 +24,6 @@
 constexpr duration drain_limit{60'000};
 constexpr duration longest_announcement{60'000};
 constexpr int most_slots = 1024;
-constexpr std::chrono::seconds time_line_limit{2};
 const std::string backends_path = "/v1/backends/";
 
 protocol::agent_settings settings_of(const agent_config& config) {
@@ -220,28 +218,12 @@
     return {200, "leaving\n", {}};
 }
 
-net::served_response agent_process::serve_time_line() {
-    auto answer = std::make_shared<std::promise<std::string>>();
-    auto future = answer->get_future();
-    loop_.post(
-        [this, answer] { answer->set_value(net::to_json(log_.events)); });
-    if (future.wait_for(time_line_limit) != std::future_status::ready)
-        return {503, "the control thread is busy; retry later\n", {}};
-    return {200, future.get(), {{"Content-Type", "application/json"}}};
-}
-
 net::served_response
 agent_process::serve_http(const net::served_request& request) {
     if (request.path.starts_with(backends_path))
         return serve_backend(request,
                              request.path.substr(backends_path.size()));
-    if (request.path == "/healthz")
-        return {200, "ok\n", {}};
-    if (request.path == "/metrics")
-        return {200, metrics_.text(), {{"Content-Type", "text/plain"}}};
-    if (request.path == "/timeline")
-        return serve_time_line();
-    return {404, "try /healthz, /metrics, /timeline or /v1/backends/ID\n", {}};
+    return net::serve_common_page(request, loop_, metrics_, log_);
 }
 
 } // namespace celerylift::agent
--- a/modules/agent/src/agent_process.hpp
+++ b/modules/agent/src/agent_process.hpp
@@ -40,7 +40,6 @@
                                        const std::string& id);
     net::served_response announce(const net::served_request& request,
                                   const std::string& id);
-    net::served_response serve_time_line();
     void report_changes();
 
     agent_config config_;
--- a/modules/entry/src/entry_process.cpp
+++ b/modules/entry/src/entry_process.cpp
@@ -3,12 +3,11 @@
 #include "rpc_server.hpp"
 
 #include <celerylift/base/log.hpp>
-#include <celerylift/net/event_json.hpp>
+#include <celerylift/net/common_pages.hpp>
 #include <celerylift/platform/platform_client.hpp>
 #include <celerylift/protocol/timing.hpp>
 
 #include <fmt/format.h>
-#include <future>
 #include <random>
 
 namespace celerylift::entry {
@@ -19,7 +18,6 @@
 constexpr std::size_t store_queue_limit = 2000;
 constexpr duration watch_wait{2000};
 constexpr duration watch_retry{200};
-constexpr std::chrono::seconds time_line_limit{2};
 
 protocol::entry_settings settings_of(const entry_config& config) {
     protocol::entry_settings settings;
@@ -214,25 +212,9 @@
     return 0;
 }
 
-net::served_response entry_process::serve_time_line() {
-    auto answer = std::make_shared<std::promise<std::string>>();
-    auto future = answer->get_future();
-    loop_.post(
-        [this, answer] { answer->set_value(net::to_json(state_.log.events)); });
-    if (future.wait_for(time_line_limit) != std::future_status::ready)
-        return {503, "the control thread is busy; retry later\n", {}};
-    return {200, future.get(), {{"Content-Type", "application/json"}}};
-}
-
 net::served_response
 entry_process::serve_http(const net::served_request& request) {
-    if (request.path == "/healthz")
-        return {200, "ok\n", {}};
-    if (request.path == "/metrics")
-        return {200, metrics_.text(), {{"Content-Type", "text/plain"}}};
-    if (request.path == "/timeline")
-        return serve_time_line();
-    return {404, "try /healthz, /metrics or /timeline\n", {}};
+    return net::serve_common_page(request, loop_, metrics_, state_.log);
 }
 
 } // namespace celerylift::entry
--- a/modules/entry/src/entry_process.hpp
+++ b/modules/entry/src/entry_process.hpp
@@ -46,7 +46,6 @@
     void call_store(const protocol::store_request& request);
     void watch_store();
     net::served_response serve_http(const net::served_request& request);
-    net::served_response serve_time_line();
     void report_changes();
 
     entry_config config_;
--- a/modules/protocol/src/agent.cpp
+++ b/modules/protocol/src/agent.cpp
@@ -1,6 +1,7 @@
 #include "agent_internal.hpp"
 
 #include <celerylift/protocol/convert.hpp>
+#include <celerylift/protocol/event_messages.hpp>
 #include <celerylift/protocol/timing.hpp>
 
 #include <celerylift/mutant.hpp>
@@ -200,21 +201,6 @@
     }
 }
 
-void on_query(const agent_context& c, const std::string& from,
-              const wire::EventsQuery& query) {
-    auto& reply = *send(c, from).mutable_events_reply();
-    reply.set_id(query.id());
-    for (const auto& e : base::recent(c.log, query.subject(), query.limit())) {
-        auto* out = reply.add_events();
-        out->set_process(e.process);
-        out->set_clock(e.clock);
-        out->set_wall_ms(e.wall_ms);
-        out->set_kind(e.kind);
-        out->set_subject(e.subject);
-        out->set_detail(e.detail);
-    }
-}
-
 /// Why no new work is taken; empty where it is.
 std::string closed_reason(const agent_context& c) {
     if (c.agent.leaving)
@@ -352,7 +338,9 @@
             on_run_ack(c, envelope.run_ack());
         return;
     case wire::Envelope::kEventsQuery:
-        return on_query(c, from, envelope.events_query());
+        *send(c, from).mutable_events_reply() =
+            answer_events_query(c.log, envelope.events_query());
+        return;
     default:
         return;
     }
--- a/modules/protocol/src/entry.cpp
+++ b/modules/protocol/src/entry.cpp
@@ -1,5 +1,6 @@
 #include "entry_internal.hpp"
 
+#include <celerylift/protocol/event_messages.hpp>
 #include <celerylift/protocol/timing.hpp>
 
 #include <algorithm>
@@ -45,23 +46,6 @@
     drop_deposed(c);
 }
 
-void on_query(const entry_context& c, const std::string& from,
-              const wire::EventsQuery& query) {
-    auto& reply = *send(c, from).mutable_events_reply();
-    reply.set_id(query.id());
-    const auto events =
-        base::recent(c.entry.log, query.subject(), query.limit());
-    for (const auto& e : events) {
-        auto* out = reply.add_events();
-        out->set_process(e.process);
-        out->set_clock(e.clock);
-        out->set_wall_ms(e.wall_ms);
-        out->set_kind(e.kind);
-        out->set_subject(e.subject);
-        out->set_detail(e.detail);
-    }
-}
-
 void on_peer_status(const entry_context& c, const std::string& from,
                     const wire::PeerStatus& status) {
     // An entry that can't reach the store learns from others that it was
@@ -169,7 +153,8 @@
         on_agent_heartbeat(c, envelope.from(), envelope.heartbeat());
         break;
     case wire::Envelope::kEventsQuery:
-        on_query(c, envelope.from(), envelope.events_query());
+        *send(c, envelope.from()).mutable_events_reply() =
+            answer_events_query(c.entry.log, envelope.events_query());
         break;
     case wire::Envelope::kPeerStatus:
         on_peer_status(c, envelope.from(), envelope.peer_status());
--- a/modules/protocol/src/owner_explain.cpp
+++ b/modules/protocol/src/owner_explain.cpp
@@ -2,6 +2,8 @@
 // explanation of one job.
 #include "owner_internal.hpp"
 
+#include <celerylift/protocol/event_messages.hpp>
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -13,17 +15,6 @@
 constexpr int default_events = 1000;
 constexpr int most_events = 10'000;
 
-api::Event to_api_event(const base::event& e) {
-    api::Event out;
-    out.set_process(e.process);
-    out.set_clock(e.clock);
-    out.set_wall_ms(e.wall_ms);
-    out.set_kind(e.kind);
-    out.set_subject(e.subject);
-    out.set_detail(e.detail);
-    return out;
-}
-
 void ask(const owner_context& c, std::uint64_t id, events_query& query,
          const std::string& process) {
     auto& message = *send(c, process).mutable_events_query();
@@ -49,7 +40,7 @@
             ? query.events.size() - query.limit
             : 0;
     for (std::size_t i = skip; i < query.events.size(); ++i)
-        *line->add_events() = to_api_event(query.events[i]);
+        *line->add_events() = to_api(query.events[i]);
     for (const auto& process : query.waiting_for)
         line->add_silent_processes(process);
     reply(c, query.who, std::move(answer));
@@ -62,7 +53,7 @@
     wire::ApiReply answer;
     *answer.mutable_explanation() = explain_job(c.owner, it->second, c.wall_ms);
     for (const auto& e : query.events)
-        *answer.mutable_explanation()->add_events() = to_api_event(e);
+        *answer.mutable_explanation()->add_events() = to_api(e);
     reply(c, query.who, std::move(answer));
 }
 
@@ -103,8 +94,7 @@
     if (it == c.owner.queries.end() || it->second.waiting_for.erase(from) == 0)
         return;
     for (const auto& e : reply.events())
-        it->second.events.push_back({e.process(), e.clock(), e.wall_ms(),
-                                     e.kind(), e.subject(), e.detail()});
+        it->second.events.push_back(from_api(e));
     if (!it->second.waiting_for.empty())
         return;
     auto query = std::move(it->second);
--- a/modules/protocol/src/owner_internal.hpp
+++ b/modules/protocol/src/owner_internal.hpp
@@ -79,6 +79,13 @@
 void begin_release(const owner_context& c, gang_run& run, release_reason reason,
                    duration grace = duration{0});
 void check_progress(const owner_context& c, gang_run& run);
+
+/// Whether no member can be running any more.
+bool all_gone(const gang_run& run);
+
+/// Gives the accelerators of a gang back and settles its job, once all its
+/// members are gone.
+void finish_release(const owner_context& c, kernel::gang_id id);
 void lose_agent(const owner_context& c, const std::string& agent,
                 const std::string& why);
 void on_member_report(const owner_context& c, const std::string& agent,
@@ -92,6 +99,11 @@
 // ---- Agents and take-over ----
 
 void tick_agents(const owner_context& c);
+
+/// Takes over what an agent reports of itself, its worker and its backend
+/// servers.
+void take_heartbeat(const owner_context& c, agent_view& view,
+                    const wire::Heartbeat& heartbeat);
 void announce_epoch(const owner_context& c);
 void tick_collecting(const owner_context& c);
 void resolve_job(const owner_context& c, live_job& job);
