--- a/modules/agent/src/agent_config.cpp
+++ b/modules/agent/src/agent_config.cpp
@@ -36,6 +36,8 @@
         part.finish();
         reader.finish(part);
     }
+    if (config.entries.empty())
+        reader.refuse("entries", "none", "at least one");
     read_worker(reader, config);
     reader.finish();
     if (!reader.problem().empty())
--- a/modules/base/include/celerylift/base/settings_reader.hpp
+++ b/modules/base/include/celerylift/base/settings_reader.hpp
@@ -44,6 +44,10 @@
     /// Takes over the first error of a part and checks for unknown keys.
     void finish(const settings_reader& part);
 
+    /// Reports that a key holds something else than is allowed.
+    void refuse(const std::string& key, const std::string& found,
+                const std::string& allowed);
+
     /// Checks for unknown keys. Call it once all keys have been read.
     void finish();
 
@@ -53,8 +57,6 @@
     settings_reader(std::string file, std::string path, const YAML::Node& node);
 
     YAML::Node required(const std::string& key);
-    void fail(const std::string& key, const std::string& found,
-              const std::string& allowed);
     std::string full_key(const std::string& key) const;
 
     std::string file_;
--- a/modules/base/src/settings_reader.cpp
+++ b/modules/base/src/settings_reader.cpp
@@ -60,8 +60,8 @@
     return path_.empty() ? key : path_ + "." + key;
 }
 
-void settings_reader::fail(const std::string& key, const std::string& found,
-                           const std::string& allowed) {
+void settings_reader::refuse(const std::string& key, const std::string& found,
+                             const std::string& allowed) {
     if (!problem_.empty())
         return;
     const auto node = node_.IsMap() ? node_[key] : YAML::Node();
@@ -76,7 +76,7 @@
         return {};
     auto node = node_[key];
     if (!node.IsDefined())
-        fail(key, "nothing", "a value; the key is required");
+        refuse(key, "nothing", "a value; the key is required");
     return node.IsDefined() ? node : YAML::Node();
 }
 
@@ -85,7 +85,7 @@
     if (!problem_.empty())
         return {};
     if (!node.IsScalar()) {
-        fail(key, "a list or section", "one value");
+        refuse(key, "a list or section", "one value");
         return {};
     }
     return node.Scalar();
@@ -94,7 +94,7 @@
 std::string settings_reader::name(const std::string& key) {
     auto value = text(key);
     if (problem_.empty() && !is_name(value))
-        fail(key, "'" + value + "'", "1 to 63 of a-z, 0-9 and -");
+        refuse(key, "'" + value + "'", "1 to 63 of a-z, 0-9 and -");
     return value;
 }
 
@@ -107,9 +107,9 @@
     const auto parsed = std::strtoll(value.c_str(), &end, 10);
     const bool whole = !value.empty() && *end == '\0';
     if (!whole || parsed < low || parsed > high)
-        fail(key, "'" + value + "'",
-             fmt::format("a whole number from {} to {}, without a unit", low,
-                         high));
+        refuse(key, "'" + value + "'",
+               fmt::format("a whole number from {} to {}, without a unit", low,
+                           high));
     return parsed;
 }
 
@@ -122,8 +122,8 @@
     const int port =
         colon == std::string::npos ? 0 : std::atoi(value.c_str() + colon + 1);
     if (!is_ip_number(host) || port < 1 || port > highest_port) {
-        fail(key, "'" + value + "'",
-             "an IPv4 number and a port, such as 127.0.0.1:7101");
+        refuse(key, "'" + value + "'",
+               "an IPv4 number and a port, such as 127.0.0.1:7101");
         return {};
     }
     return {host, static_cast<std::uint16_t>(port)};
@@ -136,7 +136,7 @@
 settings_reader settings_reader::section(const std::string& key) {
     const auto node = required(key);
     if (problem_.empty() && !node.IsMap())
-        fail(key, "one value", "a section with keys");
+        refuse(key, "one value", "a section with keys");
     settings_reader part(file_, full_key(key),
                          problem_.empty() ? node : YAML::Node());
     part.problem_ = problem_;
@@ -149,7 +149,7 @@
     if (!problem_.empty())
         return parts;
     if (!node.IsSequence()) {
-        fail(key, "no list", "a list of sections");
+        refuse(key, "no list", "a list of sections");
         return parts;
     }
     for (std::size_t i = 0; i < node.size(); ++i)
@@ -170,8 +170,8 @@
         const auto key = entry.first.Scalar();
         if (known_.contains(key))
             continue;
-        fail(key, "an unknown key",
-             fmt::format("one of {}", fmt::join(known_, ", ")));
+        refuse(key, "an unknown key",
+               fmt::format("one of {}", fmt::join(known_, ", ")));
         return;
     }
 }
--- a/modules/protocol/src/owner_config.cpp
+++ b/modules/protocol/src/owner_config.cpp
@@ -47,6 +47,12 @@
     if (auto e = check(spec))
         return *e;
     auto* record = find_record(doc, spec.name());
+    if (!record && doc.organisations_size() >= most_organisations)
+        return error{error_kind::overloaded,
+                     fmt::format("the cell has {} organisations, the most "
+                                 "allowed; remove one first",
+                                 most_organisations),
+                     run_state::not_run, duration{0}};
     if (revision_of(record) != request.expected_revision())
         return conflict("organisation " + spec.name(),
                         request.expected_revision(), revision_of(record));
@@ -307,6 +313,13 @@
 void queue_configuration(const owner_context& c, const caller& who,
                          const wire::ApiCall& call) {
     auto& state = c.owner.configuration;
+    if (request_id_of(call).size() > longest_request_id)
+        return reply_error(
+            c, who,
+            {error_kind::invalid_argument,
+             fmt::format("request_id has {} characters; allowed are {}",
+                         request_id_of(call).size(), longest_request_id),
+             run_state::not_run, duration{0}});
     if (state.queue.size() >= most_queued_changes)
         return reply_error(
             c, who,
