Remove what the review of the change found unused

Cause: a read of the whole change. An assignment written twice in explain_wait, a time of the fault that the matrix recorded and nobody read, and an include left behind when owner_gangs.cpp was split. Ruled out for now: the set-up of organisations in the golden, session and matrix tests is alike, but each asserts differently on the way. Change: the three are gone; behaviour is as before.

--- a/modules/kernel/src/schedule.cpp
+++ b/modules/kernel/src/schedule.cpp
@@ -233,8 +233,7 @@
 
 void explain_wait(const pass& p, waiting_job& waiting) {
     const auto& shape = waiting.job.shape;
-    int free = 0;
-    free = p.cell.whole.room[1];
+    const int free = p.cell.whole.room[1];
     waiting.waiting_for = fmt::format(
         "queue: needs {} members of {} accelerators; {} accelerators are "
         "free, none of them together and unclaimed",
--- a/modules/protocol/src/owner_gangs.cpp
+++ b/modules/protocol/src/owner_gangs.cpp
@@ -1,7 +1,6 @@
 // Gangs: reserve everywhere, start everywhere, release as a whole.
 #include "owner_internal.hpp"
 
-#include <celerylift/kernel/queue.hpp>
 #include <celerylift/kernel/schedule.hpp>
 #include <celerylift/kernel/workers.hpp>
 
--- a/tests/matrix/fault_matrix.cpp
+++ b/tests/matrix/fault_matrix.cpp
@@ -110,7 +110,6 @@
         if (reached || !is_at(*m.at, e))
             return;
         reached = e;
-        run->fault_at = run->cell.now();
         for (const auto& fault : m.faults)
             fault.inject(*run, e);
     });
--- a/tests/matrix/story.hpp
+++ b/tests/matrix/story.hpp
@@ -42,7 +42,6 @@
     std::map<std::uint64_t, std::string> call_entries; // Of every call made.
     std::int64_t accepted_revision = 0;
     time_point accepted_at{};
-    std::optional<time_point> fault_at;
     std::optional<time_point> backend_left_at;
     std::optional<time_point> reclaim_asked;
     std::optional<time_point> reclaim_done;
