--- a/modules/agent/src/agent_process.cpp
+++ b/modules/agent/src/agent_process.cpp
@@ -65,7 +65,11 @@
       state_(protocol::make_agent(settings_of(config_), new_incarnation(),
                                   net::monotonic_now())),
       node_(loop_, config_.name,
-            [this](const wire::Envelope& envelope) {
+            [this](const std::string&, std::string_view bytes) {
+                wire::Envelope envelope;
+                if (!envelope.ParseFromArray(bytes.data(),
+                                             static_cast<int>(bytes.size())))
+                    return;
                 step([&](const protocol::agent_context& c) {
                     protocol::on_message(c, envelope);
                 });
--- a/modules/agent/src/main.cpp
+++ b/modules/agent/src/main.cpp
@@ -1,6 +1,8 @@
 #include "agent_config.hpp"
 #include "agent_process.hpp"
 
+#include <celerylift/host/fleet_agent.hpp>
+
 #include <docopt/docopt.h>
 #include <fmt/format.h>
 
@@ -15,10 +17,12 @@
 
 Usage:
   celerylift-agent --config=FILE [--check-config]
+  celerylift-agent fleet [--config=FILE] [--check-config]
   celerylift-agent --help
 
 Options:
-  --config=FILE   Settings in YAML; docs/OPERATORS.md has an example.
+  --config=FILE   Settings in YAML; docs/OPERATORS.md has an example. In a
+                  fleet, $CELERYLIFT_SETTINGS names it otherwise.
   --check-config  Check the settings and exit: 0 if they are sound.
 
 Example:
@@ -45,6 +49,21 @@
     return code;
 }
 
+int run_in_fleet(const std::string& file, bool check_only) {
+    auto settings = celerylift::host::read_fleet_agent_settings(file);
+    if (const auto* e = celerylift::error_of(settings)) {
+        fmt::print(stderr, "celerylift-agent: {}\n", e->message);
+        return exit_usage;
+    }
+    if (check_only) {
+        fmt::print("{}: sound\n", file);
+        return 0;
+    }
+    celerylift::host::fleet_agent agent(
+        std::get<celerylift::host::fleet_agent_settings>(settings));
+    return agent.run();
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -52,8 +71,13 @@
     try {
         const auto arguments =
             docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, false);
-        return run(arguments.at("--config").asString(),
-                   arguments.at("--check-config").asBool());
+        const auto& named = arguments.at("--config");
+        const bool check_only = arguments.at("--check-config").asBool();
+        if (arguments.at("fleet").asBool())
+            return run_in_fleet(
+                celerylift::host::settings_file(named ? named.asString() : ""),
+                check_only);
+        return run(named.asString(), check_only);
     } catch (const docopt::DocoptExitHelp&) {
         fmt::print("{}", usage);
         return 0;
--- a/modules/base/include/celerylift/base/settings_reader.hpp
+++ b/modules/base/include/celerylift/base/settings_reader.hpp
@@ -37,6 +37,9 @@
                         std::int64_t high);
     base::address address(const std::string& key);
 
+    /// A list of addresses; it may be empty.
+    std::vector<base::address> addresses(const std::string& key);
+
     bool has(const std::string& key) const;
     settings_reader section(const std::string& key);
     std::vector<settings_reader> list(const std::string& key);
@@ -56,6 +59,8 @@
 private:
     settings_reader(std::string file, std::string path, const YAML::Node& node);
 
+    base::address parse_address(const std::string& key,
+                                const std::string& value);
     YAML::Node required(const std::string& key);
     std::string full_key(const std::string& key) const;
 
--- a/modules/base/src/settings_reader.cpp
+++ b/modules/base/src/settings_reader.cpp
@@ -114,7 +114,26 @@
 }
 
 address settings_reader::address(const std::string& key) {
-    const auto value = text(key);
+    return parse_address(key, text(key));
+}
+
+std::vector<address> settings_reader::addresses(const std::string& key) {
+    const auto node = required(key);
+    std::vector<base::address> result;
+    if (!problem_.empty())
+        return result;
+    if (!node.IsSequence()) {
+        refuse(key, "no list", "a list of addresses");
+        return result;
+    }
+    for (const auto& item : node)
+        result.push_back(
+            parse_address(key, item.IsScalar() ? item.Scalar() : ""));
+    return result;
+}
+
+address settings_reader::parse_address(const std::string& key,
+                                       const std::string& value) {
     if (!problem_.empty())
         return {};
     const auto colon = value.rfind(':');
--- a/modules/entry/src/entry_process.cpp
+++ b/modules/entry/src/entry_process.cpp
@@ -40,7 +40,11 @@
       state_(protocol::make_entry(settings_of(config_), random_seed(),
                                   net::monotonic_now())),
       node_(loop_, config_.name,
-            [this](const wire::Envelope& envelope) {
+            [this](const std::string&, std::string_view bytes) {
+                wire::Envelope envelope;
+                if (!envelope.ParseFromArray(bytes.data(),
+                                             static_cast<int>(bytes.size())))
+                    return;
                 step([&](const protocol::entry_context& c) {
                     protocol::on_message(c, envelope);
                 });
--- a/modules/entry/src/main.cpp
+++ b/modules/entry/src/main.cpp
@@ -2,6 +2,8 @@
 #include "entry_process.hpp"
 #include "operator_client.hpp"
 
+#include <celerylift/host/fleet_entry.hpp>
+
 #include <docopt/docopt.h>
 #include <fmt/format.h>
 
@@ -15,6 +17,7 @@
 
 Usage:
   celerylift serve --config=FILE [--check-config]
+  celerylift fleet-entry [--config=FILE] [--check-config]
   celerylift org put NAME [--guarantee=SHAPE]... [--queue-limit=N] [--revision=N] [--entry=LIST] [--json]
   celerylift org list [--entry=LIST] [--json]
   celerylift org remove NAME --revision=N [--entry=LIST] [--json]
@@ -35,6 +38,7 @@
 
 Options:
   --config=FILE               Settings in YAML; docs/OPERATORS.md has an example.
+                              A fleet-entry takes $CELERYLIFT_SETTINGS otherwise.
   --check-config              Check the settings and exit: 0 if they are sound.
   --entry=LIST                Entries to ask, in turn [default: 127.0.0.1:7101].
   --json                      Print the reply as JSON.
@@ -84,7 +88,30 @@
     return process.run();
 }
 
+int serve_fleet(const std::string& file, bool check_only) {
+    auto settings = celerylift::host::read_fleet_entry_settings(file);
+    if (const auto* e = celerylift::error_of(settings)) {
+        fmt::print(stderr, "celerylift: {}\n", e->message);
+        return exit_usage;
+    }
+    if (check_only) {
+        fmt::print("{}: sound\n", file);
+        return exit_done;
+    }
+    celerylift::host::fleet_entry entry(
+        std::get<celerylift::host::fleet_entry_settings>(settings));
+    return entry.run();
+}
+
+std::string config_named(const command_line& arguments) {
+    const auto& named = arguments.at("--config");
+    return celerylift::host::settings_file(named ? named.asString() : "");
+}
+
 int run(const command_line& arguments) {
+    if (arguments.at("fleet-entry").asBool())
+        return serve_fleet(config_named(arguments),
+                           arguments.at("--check-config").asBool());
     if (arguments.at("serve").asBool())
         return serve(arguments.at("--config").asString(),
                      arguments.at("--check-config").asBool());
--- /dev/null
+++ b/modules/fleet/include/celerylift/fleet/config.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <celerylift/error.hpp>
+#include <celerylift/time.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace celerylift::fleet {
+
+/// Where jobs are handed in, and how they are treated.
+struct queue_config {
+    std::string name;
+    std::string host;
+    std::string path_prefix;
+    std::string service;
+    int priority = 0; // 0 goes first and may preempt others.
+    int most_attempts = 1;
+    /// A job is due `stretch` times its own work, and this allowance, after it
+    /// was handed in.
+    double stretch = 1.0;
+    duration allowance{0};
+    bool is_public = false;
+    bool needs_advice = false;
+
+    bool operator==(const queue_config&) const = default;
+};
+
+struct service_config {
+    std::string name;
+    bool enforces_capacity = false;
+
+    bool operator==(const service_config&) const = default;
+};
+
+struct organisation_config {
+    std::string name;
+    std::vector<std::string> keys;
+    std::int64_t guaranteed_accelerators = 0;
+
+    bool operator==(const organisation_config&) const = default;
+};
+
+struct limits_config {
+    std::size_t most_header_bytes = 16 * 1024;
+    std::size_t most_body_bytes = 256 * 1024;
+    duration idle{15'000};
+
+    bool operator==(const limits_config&) const = default;
+};
+
+/// All that the operators have configured, as of one version.
+struct fleet_config {
+    std::int64_t version = 0;
+    std::vector<queue_config> queues;
+    std::vector<service_config> services;
+    std::vector<organisation_config> organisations;
+    limits_config limits;
+
+    bool operator==(const fleet_config&) const = default;
+};
+
+/// Reads a configuration from the text in the store.
+using config_decoder =
+    std::function<result<fleet_config>(const std::string& text)>;
+
+/// The queue with the longest path prefix that fits, or null.
+const queue_config* find_queue(const fleet_config& config,
+                               const std::string& host,
+                               const std::string& path);
+const queue_config* find_queue(const fleet_config& config,
+                               const std::string& name);
+
+/// The organisation that a key belongs to, or null.
+const organisation_config* find_organisation_by_key(const fleet_config& config,
+                                                    const std::string& key);
+const organisation_config* find_organisation(const fleet_config& config,
+                                             const std::string& name);
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <celerylift/fleet/names.hpp>
+#include <celerylift/fleet/resources.hpp>
+#include <celerylift/time.hpp>
+
+#include <fleet.pb.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace celerylift::fleet {
+
+/// A task waits, is assigned to an agent under one run number, and ends. Only
+/// `done` and `failed` are final.
+enum class task_phase { waiting, assigned, done, failed };
+
+struct task {
+    task_name name;
+    task_phase phase = task_phase::waiting;
+    int run = 0; // Of the latest start, 0 before the first.
+    int failures = 0;
+    std::string agent;
+    std::string incarnation;
+    std::string checkpoint;
+
+    /// The job's version that must be stored before the start is ordered.
+    std::uint64_t assigned_in = 0;
+    bool stopping = false;
+    bool seen_running = false;
+    /// Has ended or can't begin, while other members of its gang may run.
+    bool resolved = false;
+    int failed_run = 0; // The gang's run whose failure it was counted for.
+    int percent = 0;
+    time_point assigned_at{};
+    time_point progressed_at{};
+    time_point waiting_since{};
+    std::string avoid_agent; // Where it failed or stood still last.
+};
+
+struct step_run {
+    std::vector<task> tasks;
+};
+
+/// One time that the steps of a job run; most jobs have just one.
+struct occurrence {
+    int number = 0;
+    std::vector<step_run> steps;
+};
+
+struct job {
+    Submission submission;
+    JobState state = JOB_PENDING;
+    bool begun = false;
+    bool cancelled = false;
+    std::vector<occurrence> occurrences;
+    std::int64_t ended_unix_ms = 0;
+
+    std::uint64_t version = 0; // Rises with each change of what is stored.
+    std::uint64_t stored_version = 0;
+    std::int64_t record_revision = 0; // Of the progress record in the store.
+    bool write_in_flight = false;
+    time_point seen_at{};
+};
+
+/// A job as it was handed in, with nothing run yet.
+job make_job(const Submission& submission, time_point now);
+
+/// Takes over what an earlier owner has recorded.
+void restore(job& j, const Progress& progress, std::int64_t revision,
+             time_point now);
+
+/// What is to be recorded of a job.
+Progress to_record(const job& j);
+
+/// Adds the occurrences whose time has come.
+void add_due_occurrences(job& j, std::int64_t unix_ms, time_point now);
+
+bool is_over(JobState state);
+bool is_over(const task& t);
+bool is_done(const step_run& s);
+
+/// Whether all steps that a step waits for are done.
+bool is_ready(const job& j, const occurrence& o, int step);
+
+/// Whether every occurrence there will ever be has been done.
+bool is_completed(const job& j);
+
+task* find_task(job& j, const task_name& name);
+
+/// What one task takes from a backend server's capacity.
+resources need_of(const Step& step);
+
+const Step& step_of(const job& j, const task_name& name);
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/fleet/include/celerylift/fleet/leadership.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <celerylift/fleet/runtime.hpp>
+#include <celerylift/fleet/store.hpp>
+
+#include <fleet.pb.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace celerylift::fleet {
+
+/// Keeps one entry registered in the store and, where no other entry owns the
+/// cell, makes it the owner. The epoch of an owner is the revision at which
+/// its key was created: it rises with each owner and fences its orders.
+class leadership {
+public:
+    struct listeners {
+        /// This entry owns the cell now.
+        std::function<void(std::int64_t epoch)> gained;
+        /// It does not any longer, or can't know.
+        std::function<void()> lost;
+    };
+
+    leadership(runtime& run, store& in, EntryRecord self, listeners call);
+
+    void start();
+
+    /// Gives everything up at once, so that another entry can follow.
+    /// `done` is called when the store has answered, or has not in time.
+    void stop(std::function<void()> done);
+
+    /// The owner key as the store shows it; an empty record where there is
+    /// none.
+    void on_owner_changed(const EntryRecord& owner, std::int64_t revision);
+
+    /// A registration of this entry has been seen to go.
+    void on_own_entry_removed();
+
+    /// Whether no other entry can own the cell now, by a clock that counts
+    /// from before the last renewal was sent.
+    bool is_valid() const;
+
+    std::int64_t epoch() const { return epoch_; }
+
+private:
+    void ask_for_lease();
+    void take_lease(const lease_reply& reply, time_point sent);
+    void register_entry();
+    void renew();
+    void take_renewal(const lease_reply& reply, time_point sent,
+                      std::int64_t lease);
+    void tick();
+    void claim();
+    void take_claim(const transaction_reply& reply);
+    void drop_lease(const char* why);
+    void resign(const char* why);
+
+    runtime& run_;
+    store& store_;
+    EntryRecord self_;
+    listeners call_;
+    std::int64_t lease_ = 0;
+    time_point lease_valid_until_{};
+    bool asking_ = false;
+    bool renewing_ = false;
+    bool registering_ = false;
+    bool registered_ = false;
+    bool claiming_ = false;
+    bool stopped_ = false;
+    bool owner_seen_ = false;
+    EntryRecord owner_;
+    std::int64_t owner_revision_ = 0;
+    std::int64_t epoch_ = 0;
+    time_point renewed_{};
+};
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/fleet/include/celerylift/fleet/mirror.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <celerylift/fleet/runtime.hpp>
+#include <celerylift/fleet/store.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace celerylift::fleet {
+
+/// Follows all keys with one prefix: reads them once, then waits for changes.
+/// Where the store has dropped the history in between, it reads them anew.
+class mirror {
+public:
+    using listener = std::function<void(const store_change&)>;
+
+    /// `progressed` is called whenever all changes up to as_of() are seen.
+    mirror(runtime& run, store& from, std::string prefix, listener changed,
+           std::function<void()> progressed = {});
+
+    /// Begins to follow; goes on until the mirror is destroyed.
+    void start();
+
+    /// Takes over an item that was read or written some other way.
+    void observe(const store_item& item);
+
+    /// Whether all keys have been read once.
+    bool is_loaded() const { return loaded_; }
+
+    /// All changes up to this revision have been seen.
+    std::int64_t as_of() const { return as_of_; }
+
+    /// When the store last answered.
+    time_point last_answer() const { return last_answer_; }
+
+private:
+    void read_page();
+    void take_page(const range_reply& page);
+    void finish_reading();
+    void wait_for_changes();
+    void take_changes(const watch_reply& reply);
+    void retry(void (mirror::*step)());
+    void apply(const store_change& change);
+
+    runtime& run_;
+    store& store_;
+    std::string prefix_;
+    listener changed_;
+    std::function<void()> progressed_;
+    std::map<std::string, std::int64_t> revisions_;
+    std::int64_t as_of_ = 0;
+    std::int64_t reading_as_of_ = 0;
+    std::string read_up_to_;
+    std::map<std::string, std::int64_t> read_now_;
+    bool loaded_ = false;
+    bool reachable_ = true;
+    time_point last_answer_{};
+};
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/fleet/include/celerylift/fleet/names.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace celerylift::fleet {
+
+/// Where the cell keeps what has to last, in the platform's store:
+///
+///   cl/owner          EntryRecord, under its entry's store lease
+///   cl/entry/NAME     EntryRecord, under its entry's store lease
+///   cl/job/ID/in      Submission, written once by any entry
+///   cl/job/ID/stop    written by any entry when the job is cancelled
+///   cl/job/ID/state   Progress, written by the owner alone
+inline constexpr std::string_view cell_prefix = "cl/";
+inline constexpr std::string_view owner_key = "cl/owner";
+inline constexpr std::string_view entry_prefix = "cl/entry/";
+inline constexpr std::string_view job_prefix = "cl/job/";
+
+enum class job_part { submission, cancellation, progress };
+
+/// The key of one part of a job.
+std::string job_key(std::string_view id, job_part part);
+
+struct job_key_parts {
+    std::string id;
+    job_part part = job_part::submission;
+
+    bool operator==(const job_key_parts&) const = default;
+};
+
+/// Which job and part a key names, or nothing for any other key.
+std::optional<job_key_parts> parse_job_key(std::string_view key);
+
+/// One task of a job.
+struct task_name {
+    std::string job;
+    int occurrence = 0;
+    int step = 0;
+    int index = 0;
+
+    auto operator<=>(const task_name&) const = default;
+};
+
+/// Writes JOB.OCCURRENCE.STEP.INDEX.
+std::string to_string(const task_name& name);
+std::optional<task_name> parse_task_name(std::string_view text);
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <celerylift/fleet/config.hpp>
+#include <celerylift/fleet/directory.hpp>
+#include <celerylift/fleet/jobs.hpp>
+#include <celerylift/fleet/placement.hpp>
+#include <celerylift/fleet/runtime.hpp>
+#include <celerylift/fleet/store.hpp>
+
+#include <fleet.pb.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace celerylift::fleet {
+
+/// A run's end that has been applied, and what must be stored before the
+/// backend server may forget it.
+struct applied_end {
+    std::int64_t number = 0;
+    std::string job;
+    std::uint64_t version = 0;
+};
+
+/// A backend server and the agent beside it, as the owner knows them.
+struct server {
+    std::string agent;
+    std::string failure_domain;
+    ServerState state;
+    bool heard = false; // Since this owner took over.
+    time_point heard_at{};
+    std::int64_t answered_sent_at_ms = 0;
+    /// Nothing that was granted so far can run beyond this time.
+    time_point granted_until{};
+    std::vector<RunningTask> running;
+    std::set<task_name> assigned;
+    std::int64_t applied_up_to = 0;
+    std::int64_t noted_up_to = 0;
+    std::deque<applied_end> unstored_ends;
+    time_point distrusted_until{};
+};
+
+/// Room that is kept for tasks until those that give way have ended.
+struct reservation {
+    std::string job;
+    int occurrence = 0;
+    int step = 0;
+    std::vector<std::string> agents;
+    resources each;
+    time_point expires{};
+};
+
+/// The one process that decides what runs where. It is rebuilt from the store
+/// and from the agents' reports by whoever owns the cell.
+struct owner {
+    runtime& run;
+    store& records;
+    std::function<bool()> is_valid;
+    std::function<void(const std::string& agent, const OwnerOrders&)> send;
+
+    std::int64_t epoch = 0; // 0: this process doesn't own the cell.
+    time_point active_since{};
+    std::shared_ptr<const fleet_config> config{};
+    std::map<std::string, job> jobs{};
+    std::map<std::string, server> servers{};
+    std::vector<reservation> reservations{};
+    std::set<std::string> changed_agents{};
+    int writes_in_flight = 0;
+    time_point write_again_at{};
+};
+
+/// Takes the cell over, with all records up to the epoch's revision.
+void activate(owner& o, std::int64_t epoch, const directory& d);
+void deactivate(owner& o);
+
+void on_config(owner& o, std::shared_ptr<const fleet_config> config);
+
+/// A job was handed in or cancelled.
+void on_job_changed(owner& o, const stored_job& stored);
+
+void on_report(owner& o, const std::string& agent, const AgentReport& report);
+
+/// Looks for what has become due; called every tenth of a second or so.
+void on_tick(owner& o);
+
+/// Writes what has changed, and sends what that makes possible.
+void finish_step(owner& o);
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/fleet/include/celerylift/fleet/resources.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <fleet.pb.h>
+
+#include <compare>
+#include <cstdint>
+
+namespace celerylift::fleet {
+
+/// Room on a backend server, or what a task takes of it.
+struct resources {
+    std::int64_t millicores = 0;
+    std::int64_t memory_mb = 0;
+    std::int64_t accelerators = 0;
+
+    bool operator==(const resources&) const = default;
+
+    resources& operator+=(const resources& other) {
+        millicores += other.millicores;
+        memory_mb += other.memory_mb;
+        accelerators += other.accelerators;
+        return *this;
+    }
+    resources& operator-=(const resources& other) {
+        millicores -= other.millicores;
+        memory_mb -= other.memory_mb;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+};
+
+inline bool fits(const resources& need, const resources& room) {
+    return need.millicores <= room.millicores &&
+           need.memory_mb <= room.memory_mb &&
+           need.accelerators <= room.accelerators;
+}
+
+inline resources from_record(const Resources& r) {
+    return {r.millicores(), r.memory_mb(), r.accelerators()};
+}
+
+inline void to_record(const resources& r, Resources* out) {
+    out->set_millicores(r.millicores);
+    out->set_memory_mb(r.memory_mb);
+    out->set_accelerators(r.accelerators);
+}
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/fleet/src/leadership.cpp
@@ -0,0 +1,183 @@
+#include <celerylift/fleet/leadership.hpp>
+
+#include <celerylift/fleet/names.hpp>
+
+#include <fmt/format.h>
+
+namespace celerylift::fleet {
+
+namespace {
+
+/// How long an owner that has died keeps others from following it. Longer
+/// than a few lost renewals, shorter than the promised time of a take-over.
+constexpr duration lease_ttl{2000};
+constexpr duration renewal_period{500};
+/// Kept in reserve for clocks that run at different speeds.
+constexpr duration lease_margin{100};
+constexpr duration call_timeout{800};
+constexpr duration tick_period{100};
+
+} // namespace
+
+leadership::leadership(runtime& run, store& in, EntryRecord self,
+                       listeners call)
+    : run_(run), store_(in), self_(std::move(self)), call_(std::move(call)) {}
+
+void leadership::start() {
+    run_.timers.every(run_.now(), tick_period, [this](time_point) { tick(); });
+    tick();
+}
+
+bool leadership::is_valid() const {
+    return epoch_ != 0 && !stopped_ && run_.now() < lease_valid_until_;
+}
+
+void leadership::tick() {
+    if (stopped_)
+        return;
+    if (lease_ == 0)
+        return ask_for_lease();
+    if (!renewing_ && run_.now() >= renewed_ + renewal_period)
+        renew();
+    if (!registered_ && !registering_)
+        register_entry();
+    if (owner_seen_ && owner_revision_ == 0 && epoch_ == 0 && !claiming_)
+        claim();
+}
+
+void leadership::ask_for_lease() {
+    if (asking_)
+        return;
+    asking_ = true;
+    const auto sent = run_.now();
+    store_.grant_lease(lease_ttl, call_timeout,
+                       [this, sent](const lease_reply& reply) {
+                           asking_ = false;
+                           take_lease(reply, sent);
+                       });
+}
+
+void leadership::take_lease(const lease_reply& reply, time_point sent) {
+    if (stopped_ || reply.status != store_status::ok)
+        return;
+    lease_ = reply.lease;
+    renewed_ = sent;
+    lease_valid_until_ = sent + reply.ttl - lease_margin;
+    registered_ = false;
+    tick();
+}
+
+void leadership::renew() {
+    renewing_ = true;
+    const auto sent = run_.now();
+    renewed_ = sent;
+    store_.renew_lease(lease_, call_timeout,
+                       [this, sent, lease = lease_](const lease_reply& reply) {
+                           renewing_ = false;
+                           take_renewal(reply, sent, lease);
+                       });
+}
+
+void leadership::take_renewal(const lease_reply& reply, time_point sent,
+                              std::int64_t lease) {
+    if (stopped_ || lease != lease_)
+        return;
+    if (reply.status == store_status::not_found)
+        return drop_lease("the store lease has ended");
+    if (reply.status == store_status::ok)
+        lease_valid_until_ = sent + lease_ttl - lease_margin;
+}
+
+void leadership::drop_lease(const char* why) {
+    lease_ = 0;
+    registered_ = false;
+    resign(why);
+    ask_for_lease();
+}
+
+void leadership::resign(const char* why) {
+    if (epoch_ == 0)
+        return;
+    run_.journal.event("ownership_lost", {{"epoch", epoch_}, {"why", why}});
+    epoch_ = 0;
+    call_.lost();
+}
+
+void leadership::register_entry() {
+    registering_ = true;
+    store_transaction write;
+    write.puts.push_back({fmt::format("{}{}", entry_prefix, self_.name()),
+                          self_.SerializeAsString(), lease_});
+    store_.transact(write, call_timeout,
+                    [this, lease = lease_](const transaction_reply& reply) {
+                        registering_ = false;
+                        if (lease != lease_)
+                            return;
+                        registered_ = reply.status == store_status::ok;
+                        if (reply.status == store_status::not_found)
+                            drop_lease("the store lease has ended");
+                    });
+}
+
+void leadership::claim() {
+    if (run_.now() >= lease_valid_until_)
+        return;
+    claiming_ = true;
+    store_transaction write;
+    write.expected.push_back({std::string(owner_key), 0});
+    write.puts.push_back(
+        {std::string(owner_key), self_.SerializeAsString(), lease_});
+    store_.transact(write, call_timeout,
+                    [this](const transaction_reply& reply) {
+                        claiming_ = false;
+                        take_claim(reply);
+                    });
+}
+
+void leadership::take_claim(const transaction_reply& reply) {
+    // Won or lost, the owner key is seen through on_owner_changed(), which
+    // also covers a claim whose reply was lost.
+    if (reply.status == store_status::not_found)
+        drop_lease("the store lease has ended");
+    if (reply.status == store_status::ok)
+        on_owner_changed(self_, reply.revision);
+}
+
+void leadership::on_owner_changed(const EntryRecord& owner,
+                                  std::int64_t revision) {
+    owner_seen_ = true;
+    // A claim's own reply may come before the mirror shows an older owner.
+    if (revision != 0 && revision < owner_revision_)
+        return;
+    const bool changed = revision != owner_revision_;
+    owner_ = owner;
+    owner_revision_ = revision;
+    if (epoch_ != 0 && revision != epoch_)
+        resign("another entry owns the cell");
+    if (changed)
+        run_.journal.event("owner_seen",
+                           {{"owner", owner.name()}, {"epoch", revision}});
+    if (!stopped_ && epoch_ == 0 && revision != 0 &&
+        owner.name() == self_.name() && owner.address() == self_.address() &&
+        owner.incarnation() == self_.incarnation()) {
+        epoch_ = revision;
+        run_.journal.event("ownership_gained", {{"epoch", epoch_}});
+        call_.gained(epoch_);
+    }
+    tick();
+}
+
+void leadership::on_own_entry_removed() {
+    registered_ = false;
+}
+
+void leadership::stop(std::function<void()> done) {
+    stopped_ = true;
+    epoch_ = 0;
+    if (lease_ == 0)
+        return done();
+    store_.end_lease(lease_, call_timeout,
+                     [done = std::move(done)](const lease_reply&) { done(); });
+}
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/fleet/src/owner.cpp
@@ -0,0 +1,244 @@
+#include "owner_internal.hpp"
+
+#include <celerylift/fleet/names.hpp>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace celerylift::fleet {
+
+namespace {
+
+/// Silence of a running task's progress after which it is taken for hung. A
+/// task of ten seconds shows progress every tenth of a second, and a server
+/// eight times slower every second.
+constexpr duration longest_standstill{3000};
+constexpr duration longest_gang_standstill{5000};
+constexpr duration distrust_after_standstill{8000};
+
+/// How long jobs that have ended stay known; see the callers' interface.
+constexpr std::int64_t ended_job_life_ms = 150'000;
+
+constexpr duration reserve_for_clocks{300};
+
+bool is_of_current_life(const server& s, const task& t) {
+    return t.incarnation == s.state.incarnation();
+}
+
+void take_running(owner& o, server& s, const AgentReport& report) {
+    s.running.assign(report.running().begin(), report.running().end());
+    for (const auto& r : s.running) {
+        const auto name = parse_task_name(r.name().task());
+        auto it = name ? o.jobs.find(name->job) : o.jobs.end();
+        auto* t = it == o.jobs.end() ? nullptr : find_task(it->second, *name);
+        if (!t || t->phase != task_phase::assigned ||
+            t->run != r.name().run() || t->agent != s.agent)
+            continue;
+        if (!t->seen_running || t->percent != r.percent())
+            t->progressed_at = o.run.now();
+        if (!t->seen_running)
+            o.run.journal.event("run_seen", {{"task", r.name().task()},
+                                             {"run", r.name().run()},
+                                             {"agent", s.agent}});
+        t->seen_running = true;
+        t->percent = r.percent();
+    }
+}
+
+void take_gone(owner& o, server& s, const GoneRun& gone) {
+    const auto name = parse_task_name(gone.name().task());
+    auto it = name ? o.jobs.find(name->job) : o.jobs.end();
+    auto* t = it == o.jobs.end() ? nullptr : find_task(it->second, *name);
+    if (!t || t->phase != task_phase::assigned || t->agent != s.agent ||
+        t->run != gone.name().run() || t->resolved)
+        return;
+    if (!t->stopping)
+        t->avoid_agent = s.agent;
+    o.run.metrics.count("starts_refused_total");
+    lose_run(o, *t, gone.reason().c_str());
+}
+
+void take_incarnation(owner& o, server& s, const ServerState& state) {
+    if (state.incarnation().empty())
+        return;
+    if (s.state.incarnation() != state.incarnation()) {
+        o.run.journal.event("server_seen",
+                            {{"agent", s.agent},
+                             {"incarnation", state.incarnation()},
+                             {"service", state.service()},
+                             {"rack", state.rack()}});
+        s.applied_up_to = 0;
+        s.noted_up_to = 0;
+        s.unstored_ends.clear();
+        s.running.clear();
+        s.distrusted_until = {};
+    }
+    s.state = state;
+    const auto names = s.assigned;
+    for (const auto& name : names) {
+        auto* t = find_task(o.jobs.at(name.job), name);
+        if (t && t->agent == s.agent && t->phase == task_phase::assigned &&
+            !t->resolved && (!is_of_current_life(s, *t) || state.departed()))
+            lose_run(o, *t,
+                     state.departed() ? "its backend server has left"
+                                      : "its backend server has restarted");
+    }
+}
+
+void take_ends(owner& o, server& s, const AgentReport& report) {
+    for (const auto& end : report.ended()) {
+        if (end.number() <= s.applied_up_to)
+            continue;
+        apply_end(o, s, end);
+        s.applied_up_to = end.number();
+    }
+}
+
+void check_progress(owner& o, job& j, task& t) {
+    if (t.phase != task_phase::assigned || t.stopping || t.resolved ||
+        !t.seen_running || t.percent >= 100 || step_of(j, t.name).lasting())
+        return;
+    const auto limit = step_of(j, t.name).gang() ? longest_gang_standstill
+                                                 : longest_standstill;
+    const auto now = o.run.now();
+    if (now < t.progressed_at + limit)
+        return;
+    auto& s = o.servers.at(t.agent);
+    if (now > s.heard_at + usable_silence)
+        return; // Nothing has been heard of it.
+    t.avoid_agent = t.agent;
+    s.distrusted_until = now + distrust_after_standstill;
+    stop_run(o, j, t, "it makes no progress");
+}
+
+void remove_old_jobs(owner& o) {
+    const auto oldest = o.run.unix_ms() - ended_job_life_ms;
+    store_transaction write;
+    write.expected.push_back({std::string(owner_key), o.epoch});
+    for (auto it = o.jobs.begin(); it != o.jobs.end();) {
+        auto& [id, j] = *it;
+        const bool at_rest = std::ranges::all_of(o.servers, [&](const auto& s) {
+            return std::ranges::none_of(
+                s.second.assigned,
+                [&](const task_name& n) { return n.job == id; });
+        });
+        if (!is_over(j.state) || j.ended_unix_ms > oldest || !at_rest ||
+            j.stored_version != j.version || j.write_in_flight ||
+            write.removals.size() + 4 > most_transaction_entries) {
+            ++it;
+            continue;
+        }
+        for (const auto part :
+             {job_part::submission, job_part::cancellation, job_part::progress})
+            write.removals.push_back(job_key(id, part));
+        it = o.jobs.erase(it);
+    }
+    if (!write.removals.empty())
+        o.records.transact(write, duration{1000},
+                           [](const transaction_reply&) {});
+}
+
+void drop_silent_servers(owner& o) {
+    for (auto& [agent, s] : o.servers) {
+        if (o.run.now() <= s.granted_until || s.assigned.empty())
+            continue;
+        lose_server(o, s, "nothing was heard of its agent for too long");
+    }
+}
+
+} // namespace
+
+time_point end_of_grant(time_point from) {
+    return from + agent_grant * 103 / 100 + reserve_for_clocks;
+}
+
+void activate(owner& o, std::int64_t epoch, const directory& d) {
+    o.epoch = epoch;
+    o.active_since = o.run.now();
+    o.jobs.clear();
+    o.servers.clear();
+    o.reservations.clear();
+    for (const auto& [id, stored] : d.jobs)
+        on_job_changed(o, stored);
+    int assigned = 0;
+    for (auto& [id, j] : o.jobs)
+        for (auto& at : j.occurrences)
+            for (auto& s : at.steps)
+                for (auto& t : s.tasks) {
+                    if (t.phase != task_phase::assigned)
+                        continue;
+                    ++assigned;
+                    auto& holder = o.servers[t.agent];
+                    holder.agent = t.agent;
+                    holder.assigned.insert(t.name);
+                    // The former owner may have granted until just now.
+                    holder.granted_until = end_of_grant(o.active_since);
+                }
+    o.run.journal.event("took_over", {{"epoch", epoch},
+                                      {"jobs", o.jobs.size()},
+                                      {"assigned_tasks", assigned}});
+    finish_step(o);
+}
+
+void deactivate(owner& o) {
+    o.epoch = 0;
+    o.jobs.clear();
+    o.servers.clear();
+    o.reservations.clear();
+    o.changed_agents.clear();
+}
+
+void on_config(owner& o, std::shared_ptr<const fleet_config> config) {
+    o.config = std::move(config);
+    if (o.epoch != 0)
+        finish_step(o);
+}
+
+void on_report(owner& o, const std::string& agent, const AgentReport& report) {
+    if (o.epoch == 0 || report.followed_epoch() > o.epoch)
+        return;
+    auto& s = o.servers[agent];
+    s.agent = agent;
+    s.failure_domain = report.failure_domain();
+    s.heard = true;
+    s.heard_at = o.run.now();
+    s.answered_sent_at_ms = report.sent_at_ms();
+    take_incarnation(o, s, report.server());
+    if (report.server().incarnation() == s.state.incarnation() &&
+        !report.server().incarnation().empty()) {
+        take_ends(o, s, report);
+        take_running(o, s, report);
+        for (const auto& gone : report.gone())
+            take_gone(o, s, gone);
+    }
+    update_noted_ends(o, s);
+    o.changed_agents.insert(agent);
+    finish_step(o);
+}
+
+void on_tick(owner& o) {
+    if (o.epoch == 0)
+        return;
+    for (auto& [id, j] : o.jobs) {
+        add_due_occurrences(j, o.run.unix_ms(), o.run.now());
+        for (auto& at : j.occurrences)
+            for (auto& s : at.steps)
+                for (auto& t : s.tasks)
+                    check_progress(o, j, t);
+    }
+    drop_silent_servers(o);
+    if (o.is_valid())
+        remove_old_jobs(o);
+    finish_step(o);
+}
+
+void finish_step(owner& o) {
+    if (o.epoch == 0)
+        return;
+    if (o.is_valid())
+        schedule(o);
+    write_changes(o);
+    send_orders(o);
+}
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/fleet/src/owner_internal.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <celerylift/fleet/owner.hpp>
+
+#include <string>
+#include <vector>
+
+namespace celerylift::fleet {
+
+/// How long an agent may go on without hearing from the owner. Shorter than
+/// the longest lease that backend servers take, longer than a take-over.
+inline constexpr duration agent_grant{5000};
+
+/// A backend server that has been silent for this long gets no new work.
+inline constexpr duration usable_silence{1600};
+
+/// When what was granted at `from` has ended for certain: the servers' clocks
+/// may be 2% slow, and a killed task takes a moment to be gone.
+time_point end_of_grant(time_point from);
+
+/// Marks a job as changed, so that it is written.
+void touch(job& j);
+
+/// Applies one end of a run. A stale one changes nothing.
+void apply_end(owner& o, server& s, const EndedTask& end);
+
+/// A run can't be there any more: its task waits again.
+void lose_run(owner& o, task& t, const char* why);
+
+/// Orders the end of a run, and of its whole gang.
+void stop_run(owner& o, job& j, task& t, const char* why);
+void stop_all_runs(owner& o, job& j, const char* why);
+
+/// Everything assigned to a server, to its current or an earlier life.
+void lose_server(owner& o, server& s, const char* why);
+
+void update_state(owner& o, job& j);
+
+void schedule(owner& o);
+void write_changes(owner& o);
+void send_orders(owner& o);
+void update_noted_ends(owner& o, server& s);
+
+const queue_config* queue_of(const owner& o, const job& j);
+int priority_of(const owner& o, const job& j);
+step_run& step_run_of(job& j, const task_name& name);
+
+/// Servers that can be given work, with what is free on them.
+std::vector<room> usable_rooms(const owner& o);
+
+/// Takes room from tasks of lower priority for a job inside its
+/// organisation's guarantee. Returns whether room has been reserved.
+bool reclaim(owner& o, job& j, const occurrence& at, int step,
+             const placement_request& request);
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -0,0 +1,275 @@
+#include "owner_internal.hpp"
+
+#include <fmt/format.h>
+
+namespace celerylift::fleet {
+
+namespace {
+
+/// A failed run makes its server the last choice for this long: long enough
+/// to spare a job's second attempt, short enough to try the server again.
+constexpr duration distrust_after_failure{5000};
+
+void assign_checkpoint(task& t, const std::string& checkpoint) {
+    if (!checkpoint.empty())
+        t.checkpoint = checkpoint;
+}
+
+void release(owner& o, task& t) {
+    if (auto it = o.servers.find(t.agent); it != o.servers.end())
+        it->second.assigned.erase(t.name);
+    o.changed_agents.insert(t.agent);
+    t.agent.clear();
+    t.incarnation.clear();
+    t.stopping = false;
+    t.seen_running = false;
+    t.percent = 0;
+}
+
+void wait_again(owner& o, task& t) {
+    release(o, t);
+    t.phase = task_phase::waiting;
+    t.resolved = false;
+    t.waiting_since = o.run.now();
+}
+
+void finish(owner& o, task& t, task_phase phase) {
+    release(o, t);
+    t.phase = phase;
+}
+
+/// Once no member of a gang's run can be at work, the gang waits again.
+void settle_gang(owner& o, step_run& s) {
+    for (const auto& t : s.tasks)
+        if (t.phase == task_phase::assigned && !t.resolved)
+            return;
+    std::string checkpoint;
+    int run = 0;
+    for (const auto& t : s.tasks) {
+        run = std::max(run, t.run);
+        if (checkpoint.empty())
+            checkpoint = t.checkpoint;
+    }
+    for (auto& t : s.tasks) {
+        if (t.phase == task_phase::assigned)
+            wait_again(o, t);
+        t.run = run;
+        t.checkpoint = checkpoint;
+    }
+}
+
+/// One member of a gang has ended other than done.
+void resolve_member(owner& o, job& j, task& t, const char* why) {
+    t.resolved = true;
+    auto& s = step_run_of(j, t.name);
+    for (auto& other : s.tasks)
+        if (other.phase == task_phase::assigned && !other.resolved &&
+            !other.stopping)
+            stop_run(o, j, other, why);
+    settle_gang(o, s);
+}
+
+void count_failure(owner& o, server& s, job& j, task& t) {
+    s.distrusted_until = o.run.now() + distrust_after_failure;
+    t.avoid_agent = t.agent;
+    if (!step_of(j, t.name).gang()) {
+        ++t.failures;
+        return;
+    }
+    // A gang's run fails once, however many of its members report it.
+    auto& members = step_run_of(j, t.name).tasks;
+    for (const auto& member : members)
+        if (member.failed_run == t.run)
+            return;
+    t.failed_run = t.run;
+    for (auto& member : members)
+        ++member.failures;
+}
+
+bool has_failed_for_good(const owner& o, const job& j, const task& t) {
+    const auto* queue = queue_of(o, j);
+    return queue && !step_of(j, t.name).lasting() &&
+           t.failures >= queue->most_attempts;
+}
+
+void end_done(owner& o, server& s, job& j, task& t) {
+    s.distrusted_until = {};
+    if (step_of(j, t.name).lasting())
+        return wait_again(o, t);
+    if (!step_of(j, t.name).gang())
+        return finish(o, t, task_phase::done);
+    // The members of a gang are done together.
+    for (auto& member : step_run_of(j, t.name).tasks)
+        finish(o, member, task_phase::done);
+}
+
+void end_otherwise(owner& o, server& s, job& j, task& t, RunEnd how) {
+    if (how == RUN_FAILED)
+        count_failure(o, s, j, t);
+    const bool hopeless = how == RUN_FAILED && has_failed_for_good(o, j, t);
+    if (step_of(j, t.name).gang())
+        resolve_member(o, j, t, "another member has ended");
+    else
+        wait_again(o, t);
+    if (!hopeless)
+        return;
+    j.state = JOB_FAILED;
+    j.ended_unix_ms = o.run.unix_ms();
+    o.run.journal.event("job_failed", {{"job", j.submission.id()},
+                                       {"task", to_string(t.name)},
+                                       {"failures", t.failures}});
+    stop_all_runs(o, j, "the job has failed");
+}
+
+std::string name_of(RunEnd how) {
+    switch (how) {
+    case RUN_DONE:
+        return "done";
+    case RUN_FAILED:
+        return "failed";
+    case RUN_STOPPED:
+        return "stopped";
+    case RUN_LAPSED:
+        return "lapsed";
+    case RUN_BROKEN:
+        return "broken";
+    default:
+        return "alone";
+    }
+}
+
+} // namespace
+
+void touch(job& j) {
+    ++j.version;
+}
+
+const queue_config* queue_of(const owner& o, const job& j) {
+    return o.config ? find_queue(*o.config, j.submission.queue()) : nullptr;
+}
+
+int priority_of(const owner& o, const job& j) {
+    const auto* queue = queue_of(o, j);
+    return queue ? queue->priority : 0;
+}
+
+step_run& step_run_of(job& j, const task_name& name) {
+    for (auto& at : j.occurrences)
+        if (at.number == name.occurrence)
+            return at.steps[static_cast<std::size_t>(name.step)];
+    return j.occurrences.front().steps[static_cast<std::size_t>(name.step)];
+}
+
+void apply_end(owner& o, server& s, const EndedTask& end) {
+    const auto name = parse_task_name(end.name().task());
+    auto it = name ? o.jobs.find(name->job) : o.jobs.end();
+    auto* t = it == o.jobs.end() ? nullptr : find_task(it->second, *name);
+    const bool current = t && t->phase == task_phase::assigned &&
+                         t->run == end.name().run() && t->agent == s.agent &&
+                         !t->resolved;
+    o.run.journal.event("run_ended", {{"task", end.name().task()},
+                                      {"run", end.name().run()},
+                                      {"agent", s.agent},
+                                      {"how", name_of(end.how())},
+                                      {"end", end.number()},
+                                      {"current", current}});
+    o.run.metrics.count(
+        fmt::format("runs_ended_total{{how=\"{}\"}}", name_of(end.how())));
+    if (!current) {
+        s.unstored_ends.push_back({end.number(), "", 0});
+        return;
+    }
+    auto& j = it->second;
+    assign_checkpoint(*t, end.checkpoint());
+    if (end.how() == RUN_DONE)
+        end_done(o, s, j, *t);
+    else
+        end_otherwise(o, s, j, *t, end.how());
+    touch(j);
+    update_state(o, j);
+    s.unstored_ends.push_back({end.number(), j.submission.id(), j.version});
+}
+
+void lose_run(owner& o, task& t, const char* why) {
+    auto& j = o.jobs.at(t.name.job);
+    o.run.journal.event("run_lost", {{"task", to_string(t.name)},
+                                     {"run", t.run},
+                                     {"agent", t.agent},
+                                     {"why", why}});
+    o.run.metrics.count("runs_lost_total");
+    if (step_of(j, t.name).gang())
+        resolve_member(o, j, t, why);
+    else
+        wait_again(o, t);
+    touch(j);
+    update_state(o, j);
+}
+
+void lose_server(owner& o, server& s, const char* why) {
+    const auto names = s.assigned;
+    for (const auto& name : names) {
+        auto* t = find_task(o.jobs.at(name.job), name);
+        if (t && t->phase == task_phase::assigned && t->agent == s.agent &&
+            !t->resolved)
+            lose_run(o, *t, why);
+    }
+}
+
+void stop_run(owner& o, job& j, task& t, const char* why) {
+    if (t.stopping)
+        return;
+    t.stopping = true;
+    o.changed_agents.insert(t.agent);
+    o.run.journal.event("run_stopping", {{"task", to_string(t.name)},
+                                         {"run", t.run},
+                                         {"agent", t.agent},
+                                         {"why", why}});
+    if (!step_of(j, t.name).gang())
+        return;
+    for (auto& other : step_run_of(j, t.name).tasks)
+        if (other.phase == task_phase::assigned && !other.resolved)
+            stop_run(o, j, other, why);
+}
+
+void stop_all_runs(owner& o, job& j, const char* why) {
+    for (auto& at : j.occurrences)
+        for (auto& s : at.steps)
+            for (auto& t : s.tasks)
+                if (t.phase == task_phase::assigned && !t.resolved)
+                    stop_run(o, j, t, why);
+}
+
+void update_state(owner& o, job& j) {
+    if (is_over(j.state) || !is_completed(j))
+        return;
+    j.state = JOB_COMPLETED;
+    j.ended_unix_ms = o.run.unix_ms();
+    touch(j);
+    o.run.journal.event("job_completed", {{"job", j.submission.id()}});
+    o.run.metrics.count("jobs_completed_total");
+}
+
+void on_job_changed(owner& o, const stored_job& stored) {
+    if (o.epoch == 0 || !stored.submission)
+        return;
+    const auto& id = stored.submission->id();
+    auto [it, added] = o.jobs.try_emplace(id);
+    auto& j = it->second;
+    if (added) {
+        j = make_job(*stored.submission, o.run.now());
+        if (stored.progress)
+            restore(j, *stored.progress, stored.progress_revision, o.run.now());
+    }
+    if (!stored.cancelled || j.cancelled)
+        return;
+    j.cancelled = true;
+    if (is_over(j.state))
+        return;
+    j.state = JOB_CANCELLED;
+    j.ended_unix_ms = o.run.unix_ms();
+    touch(j);
+    o.run.journal.event("job_cancelled", {{"job", id}});
+    stop_all_runs(o, j, "the job was cancelled");
+}
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -0,0 +1,271 @@
+#include "owner_internal.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <tuple>
+
+namespace celerylift::fleet {
+
+namespace {
+
+/// After a take-over the agents report within a few hundred milliseconds;
+/// gangs that are placed before would get the servers that came first.
+constexpr duration settling_time{600};
+
+/// A gang waits for a whole rack, and a task for the rack of its data, for as
+/// long as it would run: spread out it would take several times as long.
+constexpr duration longest_rack_wait{12'000};
+
+/// How long room is kept for a reservation: the time in which the tasks that
+/// give way must have stopped, twice over.
+constexpr duration reservation_time{2500};
+
+/// Tasks of one step that wait to be placed.
+struct waiting_unit {
+    int priority = 0;
+    std::int64_t submitted = 0;
+    std::string job;
+    std::size_t occurrence = 0;
+    int step = 0;
+
+    auto operator<=>(const waiting_unit&) const = default;
+};
+
+std::vector<waiting_unit> waiting_units(owner& o) {
+    std::vector<waiting_unit> units;
+    for (auto& [id, j] : o.jobs) {
+        if (is_over(j.state) || j.cancelled || !queue_of(o, j))
+            continue;
+        for (std::size_t at = 0; at < j.occurrences.size(); ++at)
+            for (int s = 0; s < j.submission.steps_size(); ++s) {
+                const auto& tasks =
+                    j.occurrences[at].steps[static_cast<std::size_t>(s)].tasks;
+                const bool waits =
+                    std::ranges::any_of(tasks, [](const task& t) {
+                        return t.phase == task_phase::waiting;
+                    });
+                const bool whole =
+                    !j.submission.steps(s).gang() ||
+                    std::ranges::all_of(tasks, [](const task& t) {
+                        return t.phase == task_phase::waiting;
+                    });
+                if (waits && whole && is_ready(j, j.occurrences[at], s))
+                    units.push_back({priority_of(o, j),
+                                     j.submission.submitted_unix_ms(), id, at,
+                                     s});
+            }
+    }
+    std::ranges::sort(units);
+    return units;
+}
+
+void assign(owner& o, job& j, task& t, server& s, int run) {
+    t.phase = task_phase::assigned;
+    t.run = run;
+    t.agent = s.agent;
+    t.incarnation = s.state.incarnation();
+    t.assigned_at = o.run.now();
+    t.progressed_at = t.assigned_at;
+    t.resolved = false;
+    t.stopping = false;
+    t.seen_running = false;
+    t.percent = 0;
+    s.assigned.insert(t.name);
+    o.changed_agents.insert(s.agent);
+    touch(j);
+    t.assigned_in = j.version;
+    j.begun = true;
+    if (j.state == JOB_PENDING)
+        j.state = JOB_RUNNING;
+    o.run.journal.event(
+        "task_assigned",
+        {{"task", to_string(t.name)},
+         {"run", run},
+         {"agent", s.agent},
+         {"waited_ms", (t.assigned_at - t.waiting_since).count()}});
+    o.run.metrics.count("tasks_assigned_total");
+}
+
+placement_request request_for(const owner& o, const job& j,
+                              const occurrence& at, int step) {
+    const auto& spec = j.submission.steps(step);
+    placement_request request;
+    request.service = queue_of(o, j)->service;
+    request.each = need_of(spec);
+    request.required_label = spec.required_label();
+    request.preferred_rack = spec.affinity_rack();
+    request.most_per_server = spec.anti_affinity();
+    request.same_rack = spec.gang() && spec.same_rack();
+    std::map<std::string, int> running;
+    for (const auto& t : at.steps[static_cast<std::size_t>(step)].tasks)
+        if (t.phase == task_phase::assigned)
+            ++running[t.agent];
+    request.running.assign(running.begin(), running.end());
+    return request;
+}
+
+/// Keeps reserved room from everyone but the unit that it is kept for.
+void withhold_reserved(std::vector<room>& rooms, const owner& o,
+                       const waiting_unit* unit) {
+    for (const auto& r : o.reservations) {
+        if (unit && r.job == unit->job && r.step == unit->step &&
+            r.occurrence == static_cast<int>(unit->occurrence))
+            continue;
+        for (const auto& agent : r.agents)
+            for (auto& at : rooms)
+                if (at.agent == agent)
+                    at.free -= r.each;
+    }
+}
+
+void end_reservation(owner& o, const waiting_unit& unit) {
+    std::erase_if(o.reservations, [&](const reservation& r) {
+        return r.job == unit.job && r.step == unit.step &&
+               r.occurrence == static_cast<int>(unit.occurrence);
+    });
+}
+
+bool has_reservation(const owner& o, const waiting_unit& unit) {
+    return std::ranges::any_of(o.reservations, [&](const reservation& r) {
+        return r.job == unit.job && r.step == unit.step &&
+               r.occurrence == static_cast<int>(unit.occurrence);
+    });
+}
+
+duration waited(const owner& o, const task& t) {
+    return o.run.now() - t.waiting_since;
+}
+
+/// Relaxes a wish for one rack where it can't be met or has waited enough.
+void relax_rack(const owner& o, const std::vector<room>& rooms,
+                const std::vector<task>& tasks, placement_request& request) {
+    if (request.same_rack && (waited(o, tasks.front()) > longest_rack_wait ||
+                              !could_fit(rooms, request)))
+        request.same_rack = false;
+}
+
+void place_gang(owner& o, job& j, const waiting_unit& unit) {
+    auto& at = j.occurrences[unit.occurrence];
+    auto& tasks = at.steps[static_cast<std::size_t>(unit.step)].tasks;
+    auto request = request_for(o, j, at, unit.step);
+    request.count = static_cast<int>(tasks.size());
+    int run = 0;
+    for (const auto& t : tasks) {
+        run = std::max(run, t.run);
+        if (!t.avoid_agent.empty())
+            request.avoid.insert(t.avoid_agent);
+    }
+    auto rooms = usable_rooms(o);
+    relax_rack(o, rooms, tasks, request);
+    withhold_reserved(rooms, o, &unit);
+    auto chosen = place(rooms, request);
+    if (chosen.empty() && !request.avoid.empty()) {
+        request.avoid.clear();
+        chosen = place(rooms, request);
+    }
+    if (chosen.empty()) {
+        if (!has_reservation(o, unit))
+            reclaim(o, j, at, unit.step, request);
+        return;
+    }
+    end_reservation(o, unit);
+    for (std::size_t i = 0; i < tasks.size(); ++i)
+        assign(o, j, tasks[i], o.servers.at(rooms[chosen[i]].agent), run + 1);
+}
+
+void place_singles(owner& o, job& j, const waiting_unit& unit) {
+    auto& at = j.occurrences[unit.occurrence];
+    auto& tasks = at.steps[static_cast<std::size_t>(unit.step)].tasks;
+    auto rooms = usable_rooms(o);
+    withhold_reserved(rooms, o, &unit);
+    auto request = request_for(o, j, at, unit.step);
+    int left = 0;
+    for (auto& t : tasks) {
+        if (t.phase != task_phase::waiting)
+            continue;
+        request.avoid.clear();
+        if (!t.avoid_agent.empty())
+            request.avoid.insert(t.avoid_agent);
+        auto chosen = place(rooms, request);
+        if (chosen.empty() && !request.avoid.empty()) {
+            request.avoid.clear();
+            chosen = place(rooms, request);
+        }
+        if (chosen.empty()) {
+            ++left;
+            continue;
+        }
+        const auto& agent = rooms[chosen.front()].agent;
+        assign(o, j, t, o.servers.at(agent), t.run + 1);
+        request = request_for(o, j, at, unit.step);
+    }
+    if (left == 0)
+        return end_reservation(o, unit);
+    request.avoid.clear();
+    request.count = left;
+    if (!has_reservation(o, unit))
+        reclaim(o, j, at, unit.step, request);
+}
+
+} // namespace
+
+std::vector<room> usable_rooms(const owner& o) {
+    std::vector<room> rooms;
+    const auto now = o.run.now();
+    for (const auto& [agent, s] : o.servers) {
+        if (!s.heard || s.state.incarnation().empty() || s.state.draining() ||
+            s.state.departed() || now > s.heard_at + usable_silence)
+            continue;
+        room r;
+        r.agent = agent;
+        r.rack = s.state.rack();
+        r.labels.assign(s.state.labels().begin(), s.state.labels().end());
+        r.service = s.state.service();
+        r.capacity = from_record(s.state.capacity());
+        r.free = r.capacity;
+        r.trust = now < s.distrusted_until ? 0.0 : 1.0;
+        bool known = true;
+        std::set<task_name> counted;
+        for (const auto& name : s.assigned) {
+            const auto& j = o.jobs.at(name.job);
+            auto* t = find_task(const_cast<job&>(j), name);
+            if (!t || t->resolved)
+                continue;
+            counted.insert(name);
+            r.free -= need_of(step_of(j, name));
+        }
+        // What runs there against the record still takes room.
+        for (const auto& running : s.running) {
+            const auto name = parse_task_name(running.name().task());
+            const auto it = name ? o.jobs.find(name->job) : o.jobs.end();
+            if (it == o.jobs.end() ||
+                name->step >= it->second.submission.steps_size()) {
+                known = false;
+                break;
+            }
+            if (counted.insert(*name).second)
+                r.free -= need_of(step_of(it->second, *name));
+        }
+        if (known)
+            rooms.push_back(std::move(r));
+    }
+    return rooms;
+}
+
+void schedule(owner& o) {
+    if (o.run.now() < o.active_since + settling_time)
+        return;
+    std::erase_if(o.reservations, [&](const reservation& r) {
+        return o.run.now() > r.expires || !o.jobs.contains(r.job) ||
+               is_over(o.jobs.at(r.job).state);
+    });
+    for (const auto& unit : waiting_units(o)) {
+        auto& j = o.jobs.at(unit.job);
+        if (j.submission.steps(unit.step).gang())
+            place_gang(o, j, unit);
+        else
+            place_singles(o, j, unit);
+    }
+}
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/fleet/src/owner_writes.cpp
@@ -0,0 +1,207 @@
+#include "owner_internal.hpp"
+
+#include <celerylift/fleet/names.hpp>
+
+#include <algorithm>
+
+namespace celerylift::fleet {
+
+namespace {
+
+constexpr duration write_timeout{1000};
+constexpr duration retry_pause{100};
+constexpr int most_writes_in_flight = 4;
+
+/// Each job takes a condition and a value, and the owner's key a condition.
+constexpr std::size_t most_jobs_in_write = (most_transaction_entries - 1) / 2;
+
+/// One job as it is being written.
+struct written_job {
+    std::string id;
+    std::uint64_t version = 0;
+};
+
+std::vector<written_job> take_changed_jobs(owner& o) {
+    std::vector<written_job> batch;
+    for (auto& [id, j] : o.jobs) {
+        if (j.write_in_flight || j.version == j.stored_version)
+            continue;
+        j.write_in_flight = true;
+        batch.push_back({id, j.version});
+        if (batch.size() == most_jobs_in_write)
+            break;
+    }
+    return batch;
+}
+
+store_transaction transaction_for(const owner& o,
+                                  const std::vector<written_job>& batch) {
+    store_transaction write;
+    // Fails once another process owns the cell. The condition on each record
+    // keeps a write whose reply was lost from undoing a later one.
+    write.expected.push_back({std::string(owner_key), o.epoch});
+    for (const auto& written : batch) {
+        const auto& j = o.jobs.at(written.id);
+        const auto key = job_key(written.id, job_part::progress);
+        write.expected.push_back({key, j.record_revision});
+        write.puts.push_back({key, to_record(j).SerializeAsString(), 0});
+    }
+    return write;
+}
+
+void take_revisions(owner& o, const std::vector<written_job>& batch,
+                    const std::vector<store_item>& current) {
+    for (const auto& written : batch) {
+        auto it = o.jobs.find(written.id);
+        if (it == o.jobs.end())
+            continue;
+        const auto key = job_key(written.id, job_part::progress);
+        const auto item = std::ranges::find(current, key, &store_item::key);
+        it->second.record_revision = item == current.end() ? 0 : item->revision;
+    }
+}
+
+void mark_stored(owner& o, const std::vector<written_job>& batch,
+                 std::int64_t revision) {
+    for (const auto& written : batch) {
+        auto it = o.jobs.find(written.id);
+        if (it == o.jobs.end())
+            continue;
+        auto& j = it->second;
+        j.record_revision = revision;
+        j.stored_version = written.version;
+        for (const auto& at : j.occurrences)
+            for (const auto& s : at.steps)
+                for (const auto& t : s.tasks)
+                    if (t.phase == task_phase::assigned)
+                        o.changed_agents.insert(t.agent);
+    }
+    for (auto& [agent, s] : o.servers)
+        if (!s.unstored_ends.empty())
+            update_noted_ends(o, s);
+}
+
+void take_write(owner& o, const std::vector<written_job>& batch,
+                const transaction_reply& reply) {
+    for (const auto& written : batch)
+        if (auto it = o.jobs.find(written.id); it != o.jobs.end())
+            it->second.write_in_flight = false;
+    if (reply.status == store_status::ok)
+        mark_stored(o, batch, reply.revision);
+    else if (reply.status == store_status::conflict)
+        take_revisions(o, batch, reply.current);
+    if (reply.status != store_status::ok) {
+        o.write_again_at = o.run.now() + retry_pause;
+        o.run.journal.event("write_failed",
+                            {{"jobs", batch.size()},
+                             {"status", static_cast<int>(reply.status)},
+                             {"epoch", o.epoch}});
+        o.run.metrics.count("owner_writes_failed_total");
+    }
+    finish_step(o);
+}
+
+} // namespace
+
+void update_noted_ends(owner& o, server& s) {
+    while (!s.unstored_ends.empty()) {
+        const auto& end = s.unstored_ends.front();
+        const auto it = o.jobs.find(end.job);
+        if (it != o.jobs.end() && it->second.stored_version < end.version)
+            return;
+        s.noted_up_to = std::max(s.noted_up_to, end.number);
+        s.unstored_ends.pop_front();
+        o.changed_agents.insert(s.agent);
+    }
+}
+
+void write_changes(owner& o) {
+    while (o.writes_in_flight < most_writes_in_flight &&
+           o.run.now() >= o.write_again_at) {
+        const auto batch = take_changed_jobs(o);
+        if (batch.empty())
+            return;
+        ++o.writes_in_flight;
+        o.records.transact(
+            transaction_for(o, batch), write_timeout,
+            [&o, batch, epoch = o.epoch](const transaction_reply& reply) {
+                --o.writes_in_flight;
+                if (o.epoch == epoch)
+                    take_write(o, batch, reply);
+            });
+    }
+}
+
+namespace {
+
+void add_start(const job& j, const task& t, OwnerOrders& orders) {
+    const auto& step = step_of(j, t.name);
+    auto* start = orders.add_assigned();
+    start->mutable_name()->set_task(to_string(t.name));
+    start->mutable_name()->set_run(t.run);
+    to_record(need_of(step), start->mutable_each());
+    if (t.seen_running)
+        return;
+    start->set_payload(j.submission.payload());
+    start->set_checkpoint(t.checkpoint);
+}
+
+void add_stop(const std::string& name, int run, OwnerOrders& orders) {
+    auto* stop = orders.add_stops();
+    stop->set_task(name);
+    stop->set_run(run);
+}
+
+/// Runs that the records know nothing of are leftovers of an earlier owner.
+void add_leftovers(const owner& o, const server& s, OwnerOrders& orders) {
+    for (const auto& running : s.running) {
+        const auto name = parse_task_name(running.name().task());
+        const auto it = name ? o.jobs.find(name->job) : o.jobs.end();
+        const auto* t = it == o.jobs.end()
+                            ? nullptr
+                            : find_task(const_cast<job&>(it->second), *name);
+        const bool wanted = t && t->phase == task_phase::assigned &&
+                            t->agent == s.agent &&
+                            t->run == running.name().run() && !t->resolved;
+        const bool done_with_gang = t && t->phase == task_phase::done;
+        if (!wanted && !done_with_gang)
+            add_stop(running.name().task(), running.name().run(), orders);
+    }
+}
+
+OwnerOrders orders_for(owner& o, server& s) {
+    OwnerOrders orders;
+    orders.set_epoch(o.epoch);
+    orders.set_incarnation(s.state.incarnation());
+    orders.set_noted_end(s.noted_up_to);
+    if (s.heard && o.is_valid()) {
+        orders.set_answered_sent_at_ms(s.answered_sent_at_ms);
+        orders.set_grant_ms(agent_grant.count());
+        s.granted_until = std::max(s.granted_until, end_of_grant(s.heard_at));
+    }
+    for (const auto& name : s.assigned) {
+        auto& j = o.jobs.at(name.job);
+        const auto* t = find_task(j, name);
+        if (!t || t->resolved || t->incarnation != s.state.incarnation())
+            continue;
+        if (t->stopping)
+            add_stop(to_string(name), t->run, orders);
+        else if (j.stored_version >= t->assigned_in)
+            add_start(j, *t, orders);
+    }
+    add_leftovers(o, s, orders);
+    return orders;
+}
+
+} // namespace
+
+void send_orders(owner& o) {
+    const auto agents = std::exchange(o.changed_agents, {});
+    for (const auto& agent : agents) {
+        auto it = o.servers.find(agent);
+        if (it != o.servers.end() && it->second.heard)
+            o.send(agent, orders_for(o, it->second));
+    }
+}
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/host/include/celerylift/host/fleet_settings.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <celerylift/base/settings_reader.hpp>
+#include <celerylift/error.hpp>
+
+#include <string>
+#include <vector>
+
+namespace celerylift::host {
+
+/// Settings of an entry of the fleet.
+struct fleet_entry_settings {
+    std::string name;
+    std::string failure_domain;
+    base::address callers;   // Where callers connect.
+    base::address readiness; // Where the platform asks whether it is ready.
+    base::address link;      // Where agents connect.
+    base::address metrics;
+    base::address store;
+
+    bool operator==(const fleet_entry_settings&) const = default;
+};
+
+/// Settings of an agent of the fleet.
+struct fleet_agent_settings {
+    std::string name;
+    std::string failure_domain;
+    base::address heartbeats; // Where the backend server reports.
+    base::address backend_server;
+    base::address metrics;
+    /// Entries to ask first; some may be gone.
+    std::vector<base::address> entries;
+
+    bool operator==(const fleet_agent_settings&) const = default;
+};
+
+result<fleet_entry_settings> read_fleet_entry_settings(const std::string& file);
+result<fleet_agent_settings> read_fleet_agent_settings(const std::string& file);
+
+/// The settings file: the one named, or else that of the environment.
+std::string settings_file(const std::string& named);
+
+} // namespace celerylift::host
--- /dev/null
+++ b/modules/host/include/celerylift/host/process_frame.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <celerylift/base/settings_reader.hpp>
+#include <celerylift/fleet/runtime.hpp>
+#include <celerylift/net/control_loop.hpp>
+#include <celerylift/net/http_client.hpp>
+#include <celerylift/net/http_front.hpp>
+
+#include <memory>
+#include <string>
+
+namespace celerylift::host {
+
+/// What every process of the fleet is built on: its loop, clocks, timers,
+/// journal, counters and HTTP client.
+class process_frame {
+public:
+    explicit process_frame(const std::string& name);
+
+    /// Serves the counters as text.
+    void serve_metrics(const base::address& at);
+
+    net::control_loop loop;
+    base::timer_service timers;
+    base::journal journal;
+    base::metrics metrics;
+    net::http_client client;
+    fleet::runtime run;
+
+private:
+    std::unique_ptr<net::http_front> metrics_front_;
+};
+
+} // namespace celerylift::host
--- /dev/null
+++ b/modules/host/src/fleet_settings.cpp
@@ -0,0 +1,77 @@
+#include <celerylift/host/fleet_settings.hpp>
+
+#include <cstdlib>
+
+namespace celerylift::host {
+
+namespace {
+
+constexpr std::int64_t highest_port = 65'535;
+
+error settings_error(const base::settings_reader& reader) {
+    return {error_kind::invalid_argument, reader.problem(), run_state::not_run,
+            duration{0}};
+}
+
+base::address read_metrics(base::settings_reader& listen,
+                           const std::string& ip) {
+    return {ip, static_cast<std::uint16_t>(
+                    listen.number("metrics", 1, highest_port))};
+}
+
+} // namespace
+
+result<fleet_entry_settings>
+read_fleet_entry_settings(const std::string& file) {
+    auto reader = base::settings_reader::open(file);
+    fleet_entry_settings s;
+    s.name = reader.name("name");
+    s.failure_domain = reader.name("failure_domain");
+    const auto ip = reader.text("ip");
+    s.store = reader.address("store");
+    auto listen = reader.section("listen");
+    s.callers = listen.address("callers");
+    s.readiness = listen.address("readiness");
+    s.link = {
+        ip, static_cast<std::uint16_t>(listen.number("link", 1, highest_port))};
+    s.metrics = read_metrics(listen, ip);
+    listen.finish();
+    reader.finish(listen);
+    reader.finish();
+    if (!reader.problem().empty())
+        return settings_error(reader);
+    return s;
+}
+
+result<fleet_agent_settings>
+read_fleet_agent_settings(const std::string& file) {
+    auto reader = base::settings_reader::open(file);
+    fleet_agent_settings s;
+    s.name = reader.name("name");
+    s.failure_domain = reader.name("failure_domain");
+    const auto ip = reader.text("ip");
+    s.backend_server = reader.address("backend_server");
+    auto listen = reader.section("listen");
+    s.heartbeats = listen.address("heartbeats");
+    s.metrics = read_metrics(listen, ip);
+    listen.finish();
+    reader.finish(listen);
+    const auto port = static_cast<std::uint16_t>(
+        reader.number("entry_port", 1, highest_port));
+    s.entries = reader.addresses("entries");
+    for (auto& entry : s.entries)
+        entry.port = port;
+    reader.finish();
+    if (!reader.problem().empty())
+        return settings_error(reader);
+    return s;
+}
+
+std::string settings_file(const std::string& named) {
+    if (!named.empty())
+        return named;
+    const char* set = std::getenv("CELERYLIFT_SETTINGS");
+    return set ? set : "";
+}
+
+} // namespace celerylift::host
--- a/modules/net/include/celerylift/net/control_loop.hpp
+++ b/modules/net/include/celerylift/net/control_loop.hpp
@@ -3,8 +3,13 @@
 #include <celerylift/time.hpp>
 
 #include <ace/Event_Handler.h>
+#include <ace/Event_Handler_Handle_Timeout_Upcall.h>
+#include <ace/Monotonic_Time_Policy.h>
 #include <ace/Reactor.h>
+#include <ace/TP_Reactor.h>
+#include <ace/Timer_Heap_T.h>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -30,6 +35,15 @@
     /// Calls `input` whenever the descriptor becomes readable.
     void watch(ACE_HANDLE handle, std::function<void()> input);
 
+    /// Ends what watch() began.
+    void unwatch(ACE_HANDLE handle);
+
+    /// For parts that register handlers of their own.
+    ACE_Reactor& reactor_of_loop() { return reactor_; }
+
+    /// Calls `reload` on SIGHUP.
+    void on_reload(std::function<void()> reload);
+
     /// Calls `stop` on SIGTERM and SIGINT.
     void on_termination(std::function<void()> stop);
 
@@ -47,18 +61,31 @@
 
     void run_posted();
 
+    // Timers by a clock that isn't set: the time of day may jump.
+    using monotonic_timers =
+        ACE_Timer_Heap_T<ACE_Event_Handler*,
+                         ACE_Event_Handler_Handle_Timeout_Upcall,
+                         ACE_SYNCH_RECURSIVE_MUTEX, ACE_Monotonic_Time_Policy>;
+    monotonic_timers timers_;
+    ACE_TP_Reactor implementation_;
     ACE_Reactor reactor_;
     std::mutex mutex_;
     std::vector<std::function<void()>> posted_;
     std::function<void()> tick_;
     std::function<void()> stop_;
+    std::function<void()> reload_;
     std::vector<std::unique_ptr<input_handler>> inputs_;
+    std::atomic<bool> stop_asked_ = false;
+    std::atomic<bool> reload_asked_ = false;
     long timer_ = -1;
 };
 
 /// Now, by a clock that is not set back.
 time_point monotonic_now();
 
+/// Now, by a clock that also counts while the host is suspended.
+time_point boottime_now();
+
 /// Milliseconds since 1970, for people to read.
 std::int64_t wall_now_ms();
 
--- a/modules/net/include/celerylift/net/http_server.hpp
+++ b/modules/net/include/celerylift/net/http_server.hpp
@@ -16,6 +16,7 @@
     std::string path;
     std::map<std::string, std::string> query;
     std::string body;
+    std::map<std::string, std::string> headers; // Names in lower case.
 };
 
 struct served_response {
--- a/modules/net/include/celerylift/net/message_node.hpp
+++ b/modules/net/include/celerylift/net/message_node.hpp
@@ -3,13 +3,14 @@
 #include <celerylift/base/settings_reader.hpp>
 #include <celerylift/net/control_loop.hpp>
 
-#include <wire.pb.h>
+#include <google/protobuf/message_lite.h>
 #include <zmq.hpp>
 
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace celerylift::net {
 
@@ -18,17 +19,24 @@
 /// control loop's thread.
 class message_node {
 public:
-    using receiver = std::function<void(const wire::Envelope& envelope)>;
+    /// `from` is the peer's name where it has connected to this process, and
+    /// the name given to connect() otherwise.
+    using receiver =
+        std::function<void(const std::string& from, std::string_view bytes)>;
 
     message_node(control_loop& loop, std::string name, receiver receive);
 
     void listen(const base::address& at);
     void connect(const std::string& peer, const base::address& at);
 
+    /// Gives a connection up. What was queued for it is dropped.
+    void disconnect(const std::string& peer);
+
     /// Sends through the connection to that peer or, where there is none, to
     /// whoever has connected under that name. A message that can't be sent
     /// at once is dropped; the protocol repeats what matters.
-    void send(const std::string& to, const wire::Envelope& envelope);
+    void send(const std::string& to,
+              const google::protobuf::MessageLite& message);
 
     /// Receives all that has arrived. ZeroMQ's descriptor signals changes
     /// alone, so this is called after each send and on each tick as well.
@@ -40,8 +48,7 @@
     std::uint64_t sent_bytes() const { return sent_bytes_; }
 
 private:
-    void drain(zmq::socket_t& socket, bool is_router);
-    void take(const zmq::message_t& message);
+    void drain(zmq::socket_t& socket, const std::string& peer);
     void observe(zmq::socket_t& socket);
 
     control_loop& loop_;
@@ -55,6 +62,7 @@
     std::uint64_t dropped_ = 0;
     std::uint64_t received_ = 0;
     std::uint64_t sent_bytes_ = 0;
+    bool drain_posted_ = false;
 };
 
 } // namespace celerylift::net
--- a/modules/net/src/control_loop.cpp
+++ b/modules/net/src/control_loop.cpp
@@ -4,6 +4,8 @@
 #include <ace/Thread.h>
 
 #include <chrono>
+#include <csignal>
+#include <ctime>
 #include <memory>
 
 namespace celerylift::net {
@@ -26,7 +28,8 @@
     std::function<void()> input_;
 };
 
-control_loop::control_loop() {
+control_loop::control_loop()
+    : implementation_(nullptr, &timers_), reactor_(&implementation_) {
     reactor(&reactor_);
 }
 
@@ -75,6 +78,10 @@
 
 int control_loop::handle_timeout(const ACE_Time_Value&, const void*) {
     run_posted();
+    if (stop_asked_.exchange(false))
+        stop_();
+    if (reload_asked_.exchange(false) && reload_)
+        reload_();
     tick_();
     return 0;
 }
@@ -86,14 +93,34 @@
                               ACE_Event_Handler::READ_MASK);
 }
 
+void control_loop::unwatch(ACE_HANDLE handle) {
+    for (auto it = inputs_.begin(); it != inputs_.end(); ++it) {
+        if ((*it)->get_handle() != handle)
+            continue;
+        reactor_.remove_handler(it->get(), ACE_Event_Handler::READ_MASK |
+                                               ACE_Event_Handler::DONT_CALL);
+        // The handler may be the one that is running: end it afterwards.
+        std::shared_ptr<input_handler> ended(std::move(*it));
+        inputs_.erase(it);
+        post([ended] {});
+        return;
+    }
+}
+
+void control_loop::on_reload(std::function<void()> reload) {
+    reload_ = std::move(reload);
+    reactor_.register_handler(SIGHUP, this);
+}
+
 void control_loop::on_termination(std::function<void()> stop) {
     stop_ = std::move(stop);
     reactor_.register_handler(SIGTERM, this);
     reactor_.register_handler(SIGINT, this);
 }
 
-int control_loop::handle_signal(int, siginfo_t*, ucontext_t*) {
-    post(stop_);
+int control_loop::handle_signal(int signal, siginfo_t*, ucontext_t*) {
+    // This may interrupt a thread that holds the lock: the next tick acts.
+    (signal == SIGHUP ? reload_asked_ : stop_asked_) = true;
     return 0;
 }
 
@@ -111,6 +138,14 @@
         std::chrono::steady_clock::now().time_since_epoch())};
 }
 
+time_point boottime_now() {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point{std::chrono::duration_cast<duration>(
+        std::chrono::seconds(now.tv_sec) +
+        std::chrono::nanoseconds(now.tv_nsec))};
+}
+
 std::int64_t wall_now_ms() {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
                std::chrono::system_clock::now().time_since_epoch())
--- /dev/null
+++ b/modules/net/src/http_front.cpp
@@ -0,0 +1,219 @@
+#include <celerylift/net/http_front.hpp>
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <cstdint>
+#include <fmt/format.h>
+#include <mutex>
+#include <set>
+#include <stdexcept>
+
+namespace celerylift::net {
+
+namespace {
+
+/// One request between its first line and its answer.
+struct open_request {
+    served_request request;
+    served_response response;
+    bool too_large = false;
+    bool handed_over = false;
+    bool answered = false;
+};
+
+MHD_Result take_query(void* out, MHD_ValueKind, const char* key,
+                      const char* value) {
+    static_cast<served_request*>(out)->query[key] = value ? value : "";
+    return MHD_YES;
+}
+
+MHD_Result take_header(void* out, MHD_ValueKind, const char* key,
+                       const char* value) {
+    std::string name = key;
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    static_cast<served_request*>(out)->headers[name] = value ? value : "";
+    return MHD_YES;
+}
+
+} // namespace
+
+struct http_front::shared {
+    shared(control_loop& control, const front_limits& allowed, handler call)
+        : loop(control), limits(allowed), handle(std::move(call)) {}
+
+    control_loop& loop;
+    front_limits limits;
+    handler handle;
+    std::atomic<bool> closing = false;
+
+    std::mutex mutex;
+    MHD_Daemon* daemon = nullptr; // Null once the front has gone.
+    std::set<std::pair<MHD_Connection*, open_request*>> suspended;
+
+    MHD_Result answer(MHD_Connection* connection,
+                      const served_response& response) const;
+    MHD_Result take(MHD_Connection* connection, open_request& open);
+    void respond(MHD_Connection* connection, open_request* open,
+                 served_response response);
+
+    static MHD_Result on_access(void* handle, MHD_Connection* connection,
+                                const char* url, const char* method,
+                                const char* version, const char* data,
+                                std::size_t* size, void** state);
+};
+
+MHD_Result http_front::shared::answer(MHD_Connection* connection,
+                                      const served_response& response) const {
+    auto* out = MHD_create_response_from_buffer(
+        response.body.size(), const_cast<char*>(response.body.data()),
+        MHD_RESPMEM_MUST_COPY);
+    for (const auto& [name, value] : response.headers)
+        MHD_add_response_header(out, name.c_str(), value.c_str());
+    if (closing)
+        MHD_add_response_header(out, "Connection", "close");
+    const auto result = MHD_queue_response(
+        connection, static_cast<unsigned>(response.status), out);
+    MHD_destroy_response(out);
+    return result;
+}
+
+void http_front::shared::respond(MHD_Connection* connection, open_request* open,
+                                 served_response response) {
+    const std::lock_guard lock(mutex);
+    if (!daemon || !suspended.erase({connection, open}))
+        return;
+    open->response = std::move(response);
+    open->answered = true;
+    MHD_resume_connection(connection);
+}
+
+MHD_Result http_front::shared::take(MHD_Connection* connection,
+                                    open_request& open) {
+    if (open.too_large)
+        return answer(connection,
+                      {413,
+                       fmt::format("the body is larger than {} bytes; send a "
+                                   "smaller one\n",
+                                   limits.most_body_bytes),
+                       {}});
+    if (open.answered)
+        return answer(connection, open.response);
+    if (open.handed_over)
+        return MHD_YES;
+    open.handed_over = true;
+    {
+        const std::lock_guard lock(mutex);
+        suspended.insert({connection, &open});
+        MHD_suspend_connection(connection);
+    }
+    loop.post([this, connection, request = &open] {
+        served_request taken;
+        {
+            const std::lock_guard lock(mutex);
+            if (!suspended.contains({connection, request}))
+                return;
+            taken = std::move(request->request);
+        }
+        handle(std::move(taken),
+               [this, connection, request](served_response response) {
+                   respond(connection, request, std::move(response));
+               });
+    });
+    return MHD_YES;
+}
+
+MHD_Result http_front::shared::on_access(void* handle,
+                                         MHD_Connection* connection,
+                                         const char* url, const char* method,
+                                         const char*, const char* data,
+                                         std::size_t* size, void** state) {
+    auto& front = *static_cast<shared*>(handle);
+    auto* open = static_cast<open_request*>(*state);
+    if (!open) {
+        open = new open_request;
+        open->request.method = method;
+        open->request.path = url;
+        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, take_query,
+                                  &open->request);
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, take_header,
+                                  &open->request);
+        *state = open;
+        return MHD_YES;
+    }
+    if (*size > 0) {
+        open->too_large = open->too_large || open->request.body.size() + *size >
+                                                 front.limits.most_body_bytes;
+        if (!open->too_large)
+            open->request.body.append(data, *size);
+        *size = 0;
+        return MHD_YES;
+    }
+    return front.take(connection, *open);
+}
+
+namespace {
+
+void on_completed(void*, MHD_Connection*, void** state,
+                  MHD_RequestTerminationCode) {
+    delete static_cast<open_request*>(*state);
+    *state = nullptr;
+}
+
+} // namespace
+
+http_front::http_front(control_loop& loop, const base::address& at,
+                       const front_limits& limits, handler handle)
+    : shared_(std::make_shared<shared>(loop, limits, std::move(handle))) {
+    sockaddr_in listen{};
+    listen.sin_family = AF_INET;
+    listen.sin_port = htons(at.port);
+    inet_pton(AF_INET, at.host.c_str(), &listen.sin_addr);
+    // A connection's memory holds its header block and as much for reading.
+    auto* daemon = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
+        at.port, nullptr, nullptr, &shared::on_access, shared_.get(),
+        MHD_OPTION_SOCK_ADDR, &listen, MHD_OPTION_CONNECTION_LIMIT,
+        limits.most_connections, MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned>(limits.idle.count() / 1000),
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, limits.most_header_bytes * 2,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
+        &on_completed, nullptr, MHD_OPTION_END);
+    if (!daemon)
+        throw std::runtime_error(fmt::format(
+            "can't listen on {}; is another process using it?", to_string(at)));
+    shared_->daemon = daemon;
+}
+
+http_front::~http_front() {
+    MHD_Daemon* daemon = nullptr;
+    {
+        const std::lock_guard lock(shared_->mutex);
+        daemon = std::exchange(shared_->daemon, nullptr);
+        // Connections must not be suspended when the daemon stops.
+        for (const auto& [connection, open] : shared_->suspended) {
+            open->response = {503, "this entry is stopping; ask another\n", {}};
+            open->answered = true;
+            MHD_resume_connection(connection);
+        }
+        shared_->suspended.clear();
+    }
+    MHD_stop_daemon(daemon);
+    // What is still posted on the loop refers to the shared part.
+    shared_->loop.post([kept = shared_] {});
+}
+
+void http_front::close_after_answers() {
+    shared_->closing = true;
+}
+
+int http_front::waiting() const {
+    const std::lock_guard lock(shared_->mutex);
+    return static_cast<int>(shared_->suspended.size());
+}
+
+} // namespace celerylift::net
--- a/modules/net/src/message_node.cpp
+++ b/modules/net/src/message_node.cpp
@@ -1,6 +1,8 @@
 #include <celerylift/net/message_node.hpp>
 
 #include <fmt/format.h>
+#include <utility>
+#include <vector>
 
 namespace celerylift::net {
 
@@ -52,8 +54,18 @@
     observe(socket);
 }
 
-void message_node::send(const std::string& to, const wire::Envelope& envelope) {
-    const auto bytes = envelope.SerializeAsString();
+void message_node::disconnect(const std::string& peer) {
+    auto it = dealers_.find(peer);
+    if (it == dealers_.end())
+        return;
+    loop_.unwatch(it->second.get(zmq::sockopt::fd));
+    it->second.set(zmq::sockopt::linger, 0);
+    dealers_.erase(it);
+}
+
+void message_node::send(const std::string& to,
+                        const google::protobuf::MessageLite& message) {
+    const auto bytes = message.SerializeAsString();
     bool sent = false;
     try {
         if (auto it = dealers_.find(to); it != dealers_.end()) {
@@ -76,31 +88,30 @@
     }
     ++sent_;
     sent_bytes_ += bytes.size();
-    loop_.post([this] { drain(); });
-}
-
-void message_node::take(const zmq::message_t& message) {
-    wire::Envelope envelope;
-    if (!envelope.ParseFromArray(message.data(),
-                                 static_cast<int>(message.size())))
+    // A send may consume the signal that something has arrived.
+    if (std::exchange(drain_posted_, true))
         return;
-    ++received_;
-    receive_(envelope);
+    loop_.post([this] {
+        drain_posted_ = false;
+        drain();
+    });
 }
 
-void message_node::drain(zmq::socket_t& socket, bool is_router) {
+void message_node::drain(zmq::socket_t& socket, const std::string& peer) {
     while (socket.get(zmq::sockopt::events) & ZMQ_POLLIN) {
+        std::string from = peer;
         zmq::message_t part;
         if (!socket.recv(part, zmq::recv_flags::dontwait))
             return;
-        if (is_router) {
-            // The first part is the sender's name; the envelope repeats it.
+        if (peer.empty()) {
+            from = part.to_string();
             if (!part.more() || !socket.recv(part, zmq::recv_flags::dontwait))
                 continue;
         }
         while (part.more() && socket.recv(part, zmq::recv_flags::dontwait))
             continue;
-        take(part);
+        ++received_;
+        receive_(from, part.to_string_view());
     }
 }
 
@@ -109,9 +120,14 @@
         return;
     draining_ = true;
     if (router_)
-        drain(*router_, true);
-    for (auto& [peer, socket] : dealers_)
-        drain(socket, false);
+        drain(*router_, "");
+    // A receiver may connect or disconnect: iterate over a copy of the names.
+    std::vector<std::string> peers;
+    for (const auto& [peer, socket] : dealers_)
+        peers.push_back(peer);
+    for (const auto& peer : peers)
+        if (auto it = dealers_.find(peer); it != dealers_.end())
+            drain(it->second, peer);
     draining_ = false;
 }
 
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -15,7 +15,8 @@
 protoc -I modules/wire/schema --cpp_out="$out" --grpc_out="$out" \
   --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" \
   modules/wire/schema/api.proto
-protoc -I modules/wire/schema --cpp_out="$out" modules/wire/schema/wire.proto
+protoc -I modules/wire/schema --cpp_out="$out" modules/wire/schema/wire.proto \
+  modules/wire/schema/fleet.proto
 if [ "${1:-}" = --check ]; then
   diff -r "$out" modules/wire/generated && echo "generate: current"
 fi
