Take lists of runs in the server's order, and never start a seen run again

Cause: two lists of runs on different connections overtook each other. The older one took a confirmed run off the agent's list, the owner's next orders named it without its payload, and the agent started it with an empty one.

Change: a list that the server made before the newest one taken is left aside; an order says when the run has been seen, and such a run is never started.

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -68,6 +68,7 @@
     std::vector<RunningTask> running{};
     std::vector<EndedTask> ended{};
     bool listed = false;
+    std::int64_t listed_clock_ms = 0; // When the server made the lists.
     std::map<run_key, run_order> orders{};
     std::map<run_key, std::string> gone{};
     std::map<run_key, resources> needs{};
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -26,6 +26,7 @@
     a.departed = false;
     ++a.life;
     a.clock_known = false;
+    a.listed_clock_ms = 0;
     a.noted_end = 0;
     a.orders_current = false;
     a.running.clear();
@@ -81,6 +82,11 @@
         return; // Another life of the same id; its heartbeat is to come.
     a.departed = false;
     a.answered_at = a.run.now();
+    // Replies on two connections may overtake each other.
+    const auto as_of = reply.clock_ms.value_or(a.listed_clock_ms);
+    if (as_of < a.listed_clock_ms)
+        return;
+    a.listed_clock_ms = as_of;
     take_clock(a, reply.clock_ms);
     take_lists(a, reply);
     settle_orders(a, sent);
--- a/modules/fleet/src/agent_orders.cpp
+++ b/modules/fleet/src/agent_orders.cpp
@@ -182,7 +182,7 @@
     for (const auto& order : orders.assigned()) {
         const auto key = key_of(order.name());
         a.needs[key] = from_record(order.each());
-        if (a.orders.contains(key) || a.gone.contains(key) ||
+        if (order.seen() || a.orders.contains(key) || a.gone.contains(key) ||
             is_running(a, key) || has_ended(a, key))
             continue;
         auto& o = a.orders[key];
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -140,6 +140,7 @@
     start->mutable_name()->set_task(to_string(t.name));
     start->mutable_name()->set_run(t.run);
     to_record(need_of(step), start->mutable_each());
+    start->set_seen(t.seen_running);
     if (t.seen_running)
         return;
     start->set_payload(j.submission.payload());
