Store what an end tells before any member of its gang is acknowledged

Cause: when one member of a gang had told that it is done, the ends of the other members changed nothing and were acknowledged at once, although the store was out of reach and the record unwritten. All processes were then killed; the next owner knew of no end and started the gang again.

Ruled out: a lost record (none was written between 31 and 37 s), a stale owner (its epoch ended before the second start).

Change: such an end waits for the job's record like any other.

--- /dev/null
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <celerylift/fleet/config.hpp>
+#include <celerylift/fleet/front.hpp>
+#include <celerylift/fleet/leadership.hpp>
+#include <celerylift/fleet/mirror.hpp>
+#include <celerylift/fleet/owner.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace celerylift::fleet {
+
+struct entry_node_settings {
+    EntryRecord self;
+    std::string config_key; // In the store; written by the operators.
+    config_decoder decode_config;
+};
+
+/// All of an entry but its sockets: follows the store, serves callers through
+/// its front and, while it owns the cell, decides for all agents.
+class entry_node {
+public:
+    using sender =
+        std::function<void(const std::string& agent, const FleetEnvelope&)>;
+
+    entry_node(runtime& run, store& records, entry_node_settings settings,
+               sender send);
+
+    void start();
+
+    /// Gives the cell up at once and is not ready any more; callers are still
+    /// served.
+    void stop();
+
+    void on_message(const std::string& agent, const FleetEnvelope& envelope);
+
+    /// Whether new callers should be sent here.
+    bool is_ready() const;
+    bool is_owner() const { return owner_.epoch != 0; }
+
+    front& calls() { return front_; }
+    const directory& jobs() const { return directory_; }
+    const owner& decisions() const { return owner_; }
+
+private:
+    void take_change(const store_change& change);
+    void take_entry(const store_change& change);
+    void take_config(const store_change& change);
+    void follow_owner();
+    void gain_cell();
+    void read_config();
+    void send_welcome(const std::string& agent);
+    void welcome_everyone();
+
+    runtime& run_;
+    store& records_;
+    entry_node_settings settings_;
+    sender send_;
+    directory directory_;
+    std::shared_ptr<const fleet_config> config_;
+    leadership leadership_;
+    owner owner_;
+    front front_;
+    mirror cell_mirror_;
+    mirror config_mirror_;
+    std::map<std::string, EntryRecord> entries_;
+    EntryRecord owner_record_;
+    std::int64_t owner_revision_ = 0;
+    std::int64_t gained_epoch_ = 0; // Active once the mirror has reached it.
+    std::set<std::string> agents_;
+    bool stopping_ = false;
+};
+
+} // namespace celerylift::fleet
--- /dev/null
+++ b/modules/fleet/src/entry_node.cpp
@@ -0,0 +1,170 @@
+#include <celerylift/fleet/entry_node.hpp>
+
+#include <celerylift/fleet/names.hpp>
+
+namespace celerylift::fleet {
+
+namespace {
+
+constexpr duration owner_tick{100};
+/// A watch may stay silent although the configuration has changed.
+constexpr duration config_check{800};
+constexpr duration config_read_timeout{700};
+/// An entry that hasn't heard from the store for this long turns new callers
+/// away.
+constexpr duration longest_store_silence{3500};
+
+} // namespace
+
+entry_node::entry_node(runtime& run, store& records,
+                       entry_node_settings settings, sender send)
+    : run_(run), records_(records), settings_(std::move(settings)),
+      send_(std::move(send)), leadership_(run, records, settings_.self,
+                                          {[this](std::int64_t epoch) {
+                                               gained_epoch_ = epoch;
+                                               gain_cell();
+                                           },
+                                           [this] {
+                                               gained_epoch_ = 0;
+                                               deactivate(owner_);
+                                           }}),
+      owner_{run, records, [this] { return leadership_.is_valid(); },
+             [this](const std::string& agent, const OwnerOrders& orders) {
+                 FleetEnvelope envelope;
+                 *envelope.mutable_orders() = orders;
+                 send_(agent, envelope);
+             }},
+      front_{run, records, nullptr, &directory_,
+             [this](const store_item& item) { cell_mirror_.observe(item); }},
+      cell_mirror_(
+          run, records, std::string(cell_prefix),
+          [this](const store_change& change) { take_change(change); },
+          [this] { follow_owner(); }),
+      config_mirror_(
+          run, records, settings_.config_key,
+          [this](const store_change& change) { take_config(change); }) {}
+
+void entry_node::start() {
+    cell_mirror_.start();
+    config_mirror_.start();
+    leadership_.start();
+    run_.timers.every(run_.now(), owner_tick,
+                      [this](time_point) { on_tick(owner_); });
+    run_.timers.every(run_.now(), config_check,
+                      [this](time_point) { read_config(); });
+}
+
+void entry_node::stop() {
+    stopping_ = true;
+    leadership_.stop([] {});
+    deactivate(owner_);
+}
+
+bool entry_node::is_ready() const {
+    return !stopping_ && config_ && cell_mirror_.is_loaded() &&
+           run_.now() < cell_mirror_.last_answer() + longest_store_silence;
+}
+
+void entry_node::take_change(const store_change& change) {
+    const auto& item = change.item;
+    if (item.key == owner_key) {
+        owner_record_.Clear();
+        if (!change.removed)
+            owner_record_.ParseFromString(item.value);
+        owner_revision_ = change.removed ? 0 : item.revision;
+        welcome_everyone();
+        return;
+    }
+    if (item.key.starts_with(entry_prefix))
+        return take_entry(change);
+    const auto id = apply(directory_, change);
+    if (!id || change.removed || owner_.epoch == 0)
+        return;
+    on_job_changed(owner_, directory_.jobs.at(*id));
+    finish_step(owner_);
+}
+
+void entry_node::take_entry(const store_change& change) {
+    const auto name = change.item.key.substr(entry_prefix.size());
+    EntryRecord record;
+    if (change.removed)
+        entries_.erase(name);
+    else if (record.ParseFromString(change.item.value))
+        entries_[name] = record;
+    if (change.removed && name == settings_.self.name())
+        leadership_.on_own_entry_removed();
+}
+
+void entry_node::follow_owner() {
+    leadership_.on_owner_changed(owner_record_, owner_revision_);
+    gain_cell();
+}
+
+void entry_node::gain_cell() {
+    // All that former owners have written is seen once the mirror is past
+    // this owner's own first write.
+    if (gained_epoch_ == 0 || owner_.epoch == gained_epoch_ ||
+        cell_mirror_.as_of() < gained_epoch_)
+        return;
+    owner_.config = config_;
+    activate(owner_, gained_epoch_, directory_);
+    welcome_everyone();
+}
+
+void entry_node::take_config(const store_change& change) {
+    if (change.removed || change.item.key != settings_.config_key)
+        return;
+    auto decoded = settings_.decode_config(change.item.value);
+    if (const auto* failure = error_of(decoded)) {
+        run_.journal.event(
+            "config_unreadable",
+            {{"revision", change.item.revision}, {"why", failure->message}});
+        return;
+    }
+    auto& config = std::get<fleet_config>(decoded);
+    if (config_ && config.version <= config_->version)
+        return;
+    run_.journal.event("config_applied",
+                       {{"version", config.version},
+                        {"revision", change.item.revision},
+                        {"queues", config.queues.size()},
+                        {"organisations", config.organisations.size()}});
+    run_.metrics.gauge("config_version", static_cast<double>(config.version));
+    config_ = std::make_shared<const fleet_config>(std::move(config));
+    front_.config = config_;
+    on_config(owner_, config_);
+}
+
+void entry_node::read_config() {
+    records_.read(settings_.config_key, config_read_timeout,
+                  [this](const read_reply& reply) {
+                      if (reply.status == store_status::ok)
+                          config_mirror_.observe(reply.item);
+                  });
+}
+
+void entry_node::on_message(const std::string& agent,
+                            const FleetEnvelope& envelope) {
+    agents_.insert(agent);
+    if (envelope.has_report() && owner_.epoch != 0)
+        on_report(owner_, agent, envelope.report());
+    else
+        send_welcome(agent);
+}
+
+void entry_node::send_welcome(const std::string& agent) {
+    FleetEnvelope envelope;
+    auto* welcome = envelope.mutable_welcome();
+    welcome->set_owner_address(owner_record_.address());
+    welcome->set_epoch(owner_revision_);
+    for (const auto& [name, record] : entries_)
+        *welcome->add_entries() = record;
+    send_(agent, envelope);
+}
+
+void entry_node::welcome_everyone() {
+    for (const auto& agent : agents_)
+        send_welcome(agent);
+}
+
+} // namespace celerylift::fleet
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -176,7 +176,11 @@
     o.run.metrics.count(
         fmt::format("runs_ended_total{{how=\"{}\"}}", name_of(end.how())));
     if (!current) {
-        s.unstored_ends.push_back({end.number(), "", 0});
+        // It may tell what another member's end has told: that must be stored
+        // too before this one is forgotten.
+        const bool known = it != o.jobs.end();
+        s.unstored_ends.push_back({end.number(), known ? name->job : "",
+                                   known ? it->second.version : 0});
         return;
     }
     auto& j = it->second;
