Play the whole fleet in virtual time, and mend two faults that it found

The product's own entries and agents run against stand-ins for the store and the backend servers (tests/fleet), in virtual time and without sockets.

Cause 1: an agent that had restarted queued an order before it knew what its server ran, found no room beside the very run that it was to start, and told the owner that the run could never begin. The owner started the gang again on other servers while the first run was at work. Change: orders are taken once the first list is there; a queued order whose run is listed is settled; one that is given up is barred at the server first, because an earlier life of the agent may have sent it. Test: an_agent.that_restarts_takes_over_what_its_server_runs failed before.

Cause 2: holds to a server that had crashed went on carrying a lease, so the agent never concluded that its runs had ended. Change: a server that has not answered for 1.8 s gets no longer lease. Test: a_backend_server.that_crashes_loses_its_work_to_another failed before.

--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -16,6 +16,9 @@
 /// A server that hasn't answered for this long may be gone.
 constexpr duration longest_server_silence{2500};
 
+/// A server that hasn't answered for this long gets no longer lease.
+constexpr duration longest_unanswered_lease{1800};
+
 std::string incarnation_of(const server_heartbeat& h) {
     return fmt::format("{}@{}", h.id, h.born_unix_ms);
 }
@@ -94,7 +97,9 @@
 
 void hold(agent& a, duration wait, bool agent::*open) {
     hold_call call;
-    call.deadline_ms = deadline_on_server(a);
+    // A server that doesn't answer must not keep its runs for ever.
+    if (a.run.now() < a.answered_at + longest_unanswered_lease)
+        call.deadline_ms = deadline_on_server(a);
     call.fencing_token = a.epoch;
     call.acknowledged_end = a.noted_end;
     call.wait = wait;
--- a/modules/fleet/src/agent_orders.cpp
+++ b/modules/fleet/src/agent_orders.cpp
@@ -159,6 +159,9 @@
         return true;
     const bool there = is_running(a, key);
     switch (o.phase) {
+    case order_phase::queued:
+        // An earlier life of this agent has started it.
+        return there;
     case order_phase::started:
         // One that was confirmed and is on no list has ended and is noted.
         return there || sent > o.since;
@@ -196,12 +199,8 @@
         const auto key = key_of(name);
         if (a.gone.contains(key) || has_ended(a, key))
             continue;
-        auto it = a.orders.find(key);
-        if (it != a.orders.end() && it->second.phase == order_phase::queued) {
-            a.orders.erase(it);
-            give_up(a, key, "stopped before it was started");
-            continue;
-        }
+        // Also one that is still queued: an earlier life of this agent may
+        // have sent it.
         auto& o = a.orders[key];
         if (o.phase != order_phase::barring && o.phase != order_phase::barred)
             bar(a, o, "the owner wants it stopped");
@@ -264,14 +263,13 @@
 }
 
 void advance_orders(agent& a) {
-    std::vector<run_key> refused;
     for (auto& [key, o] : a.orders) {
         const auto now = a.run.now();
         if (o.phase == order_phase::queued) {
             if (may_start(a, o))
                 send_start(a, key, o);
             else if (now > o.since + longest_wait_for_room || a.server.draining)
-                refused.push_back(key);
+                bar(a, o, "the agent's guard found no room or no grant");
         } else if (o.phase == order_phase::barring && !o.call_open &&
                    now >= o.called_at + stop_retry && !a.departed) {
             send_stop(a, key, o);
@@ -280,12 +278,6 @@
             a.look_again = a.look_again || now > o.since + stop_retry;
         }
     }
-    for (const auto& key : refused) {
-        a.orders.erase(key);
-        give_up(a, key, "the agent's guard found no room or no grant");
-    }
-    if (!refused.empty())
-        send_report(a);
 }
 
 void on_orders(agent& a, const OwnerOrders& orders) {
@@ -309,8 +301,11 @@
         });
         a.look_again = true;
     }
-    take_stops(a, orders);
-    take_assigned(a, orders);
+    // What runs there already must be known first.
+    if (a.listed) {
+        take_stops(a, orders);
+        take_assigned(a, orders);
+    }
     forget_settled(a, orders);
     advance(a);
 }
--- /dev/null
+++ b/tests/fleet/agent_test.cpp
@@ -0,0 +1,175 @@
+// The agent alone, against a server whose every reply the test chooses.
+#include "virtual_world.hpp"
+
+#include <celerylift/fleet/agent.hpp>
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+
+namespace celerylift::test {
+
+namespace {
+
+struct scripted_server : fleet::backend_server {
+    std::vector<fleet::start_call> starts;
+    std::vector<fleet::stop_call> stops;
+    std::deque<std::pair<fleet::hold_call,
+                         std::function<void(const fleet::hold_reply&)>>>
+        holds;
+    std::function<void(const fleet::server_reply&)> last_start;
+    std::function<void(const fleet::server_reply&)> last_stop;
+
+    void start(const std::string&, const fleet::start_call& call,
+               std::function<void(const fleet::server_reply&)> done) override {
+        starts.push_back(call);
+        last_start = std::move(done);
+    }
+    void stop(const std::string&, const fleet::stop_call& call,
+              std::function<void(const fleet::server_reply&)> done) override {
+        stops.push_back(call);
+        last_stop = std::move(done);
+    }
+    void hold(const std::string&, const fleet::hold_call& call,
+              std::function<void(const fleet::hold_reply&)> done) override {
+        holds.emplace_back(call, std::move(done));
+    }
+
+    /// Answers the oldest or the newest look at the runs.
+    void answer(bool oldest, std::int64_t clock_ms,
+                const std::vector<std::string>& running) {
+        fleet::hold_reply reply;
+        reply.status = fleet::server_status::ok;
+        reply.clock_ms = clock_ms;
+        for (const auto& task : running) {
+            fleet::RunningTask t;
+            t.mutable_name()->set_task(task);
+            t.mutable_name()->set_run(1);
+            reply.running.push_back(t);
+        }
+        auto call = oldest ? holds.front() : holds.back();
+        oldest ? holds.pop_front() : holds.pop_back();
+        call.second(reply);
+    }
+};
+
+struct agent_alone {
+    virtual_world world;
+    virtual_process process{"agent", world.now, world.log};
+    scripted_server server;
+    fleet::AgentReport report;
+    fleet::agent agent{process.run, server, "za-north-a",
+                       [this](const fleet::AgentReport& r) { report = r; }};
+
+    agent_alone() {
+        fleet::server_heartbeat h;
+        h.id = "i-1";
+        h.born_unix_ms = 5;
+        h.sequence = 1;
+        h.capacity = {16'000, 16'000, 2};
+        fleet::on_heartbeat(agent, h);
+        server.answer(true, 100, {});
+    }
+
+    fleet::OwnerOrders orders(bool seen, std::int64_t accelerators = 1,
+                              const std::string& task = "j.0.0.0") {
+        fleet::OwnerOrders o;
+        o.set_epoch(4);
+        o.set_answered_sent_at_ms(world.now.time_since_epoch().count());
+        o.set_grant_ms(5000);
+        o.set_incarnation(agent.incarnation);
+        auto* start = o.add_assigned();
+        start->mutable_name()->set_task(task);
+        start->mutable_name()->set_run(1);
+        start->mutable_each()->set_accelerators(accelerators);
+        start->set_payload(seen ? "" : "text");
+        start->set_seen(seen);
+        return o;
+    }
+
+    void confirm_start() {
+        server.last_start({fleet::server_status::ok, 110, ""});
+    }
+};
+
+} // namespace
+
+TEST(an_agent_alone, starts_what_it_is_told_to) {
+    agent_alone a;
+    fleet::on_orders(a.agent, a.orders(false));
+    ASSERT_EQ(a.server.starts.size(), 1U);
+    EXPECT_EQ(a.server.starts[0].payload, "text");
+    EXPECT_EQ(a.server.starts[0].fencing_token, 4);
+}
+
+// Two lists of runs overtook each other; the run that the older one missed
+// was started again, with the empty payload of a run that has been seen.
+TEST(an_agent_alone, is_not_misled_by_a_list_that_was_overtaken) {
+    agent_alone a;
+    fleet::on_orders(a.agent, a.orders(false));
+    a.confirm_start();
+    ASSERT_GE(a.server.holds.size(), 2U);
+    a.server.answer(false, 120, {"j.0.0.0"});
+    a.server.answer(true, 105, {});
+    fleet::on_orders(a.agent, a.orders(true));
+    EXPECT_EQ(a.server.starts.size(), 1U);
+}
+
+TEST(an_agent_alone, never_starts_a_run_that_has_been_seen) {
+    agent_alone a;
+    fleet::on_orders(a.agent, a.orders(true));
+    EXPECT_TRUE(a.server.starts.empty());
+}
+
+TEST(an_agent_alone, guards_the_capacity_of_its_server) {
+    agent_alone a;
+    auto orders = a.orders(false, 2, "j.0.0.0");
+    *orders.add_assigned() = a.orders(false, 1, "j.0.0.1").assigned(0);
+    fleet::on_orders(a.agent, orders);
+    EXPECT_EQ(a.server.starts.size(), 1U);
+}
+
+TEST(an_agent_alone, starts_nothing_for_an_owner_that_was_followed) {
+    agent_alone a;
+    auto newer = a.orders(false);
+    newer.set_epoch(9);
+    newer.clear_assigned();
+    fleet::on_orders(a.agent, newer);
+    fleet::on_orders(a.agent, a.orders(false));
+    EXPECT_TRUE(a.server.starts.empty());
+}
+
+TEST(an_agent_alone, starts_nothing_on_the_last_moments_of_a_grant) {
+    agent_alone a;
+    auto orders = a.orders(false);
+    orders.set_grant_ms(200);
+    fleet::on_orders(a.agent, orders);
+    EXPECT_TRUE(a.server.starts.empty());
+}
+
+TEST(an_agent_alone, bars_a_start_without_an_answer_before_it_gives_it_up) {
+    agent_alone a;
+    fleet::on_orders(a.agent, a.orders(false));
+    a.server.last_start({fleet::server_status::unknown, {}, "no answer"});
+    a.world.run_for(duration{500});
+    fleet::on_tick(a.agent);
+    ASSERT_FALSE(a.server.holds.empty());
+    a.server.answer(false, 600, {}); // Asked for when it was in doubt.
+    a.world.run_for(duration{500});
+    fleet::on_tick(a.agent);
+    a.server.answer(false, 1100, {});
+    fleet::on_tick(a.agent);
+    ASSERT_EQ(a.server.stops.size(), 1U);
+    EXPECT_EQ(a.report.gone_size(), 0);
+    a.server.last_stop({fleet::server_status::ok, 1110, ""});
+    a.world.run_for(duration{500});
+    fleet::on_tick(a.agent);
+    a.server.answer(false, 1600, {});
+    a.world.run_for(duration{500});
+    fleet::on_tick(a.agent);
+    a.server.answer(false, 2100, {});
+    EXPECT_EQ(a.report.gone_size(), 1);
+}
+
+} // namespace celerylift::test
--- /dev/null
+++ b/tests/fleet/fleet_test.cpp
@@ -0,0 +1,382 @@
+// The story of jobs on a whole fleet in virtual time: what callers are told,
+// what backend servers run, and what neither may ever see.
+#include "virtual_fleet.hpp"
+
+#include <celerylift/fleet/names.hpp>
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <fmt/format.h>
+
+namespace celerylift::test {
+
+namespace {
+
+using fleet::answer_kind;
+
+constexpr fleet::resources small{8'000, 16'000, 1};
+constexpr fleet::resources whole_server{64'000, 100'000, 8};
+
+std::string id_of(int n) {
+    return fmt::format("{:016x}", n);
+}
+
+/// Fails for each promise that was broken; FLEET_LOG=1 prints the log.
+void expect_kept(const virtual_fleet& f) {
+    for (const auto& broken : f.history.broken)
+        ADD_FAILURE() << broken;
+    if (!f.history.broken.empty() && std::getenv("FLEET_LOG"))
+        for (const auto& line : f.world.log)
+            fmt::print("{}\n", line);
+}
+
+} // namespace
+
+// ---- On a calm day ----
+
+TEST(a_calm_fleet, runs_a_job_once_and_shows_it_everywhere) {
+    virtual_fleet f;
+    EXPECT_EQ(f.hand_in(job_of(id_of(1), "ms=400", 3, small)).kind,
+              answer_kind::accepted);
+    for (int entry = 1; entry <= 3; ++entry)
+        EXPECT_TRUE(
+            f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{2000}, entry));
+    EXPECT_EQ(f.history.starts, 3);
+    expect_kept(f);
+}
+
+TEST(a_calm_fleet, starts_a_gang_whole_on_one_rack) {
+    virtual_fleet f;
+    f.hand_in(gang_of(id_of(1), "ms=600", 3, whole_server));
+    ASSERT_TRUE(f.world.run_until([&] { return f.history.starts == 3; },
+                                  duration{1000}));
+    int on_first_rack = 0;
+    for (int n = 1; n <= 3; ++n)
+        on_first_rack += static_cast<int>(f.server(n).running_count());
+    EXPECT_TRUE(on_first_rack == 3 || on_first_rack == 0);
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED));
+    expect_kept(f);
+}
+
+TEST(a_calm_fleet, runs_a_step_only_once_the_one_before_is_done) {
+    virtual_fleet f;
+    auto job = job_of(id_of(1), "ms=300", 2, small);
+    *job.add_steps() = job.steps(0);
+    job.mutable_steps(1)->add_after(0);
+    f.hand_in(job);
+    f.world.run_for(duration{200});
+    EXPECT_EQ(f.history.starts, 2);
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED));
+    EXPECT_EQ(f.history.starts, 4);
+}
+
+TEST(a_calm_fleet, tells_callers_what_is_wrong_with_a_call) {
+    virtual_fleet f;
+    const auto job = job_of(id_of(1), "ms=10", 1, small);
+    EXPECT_EQ(f.hand_in(job, 1, "no-such-key").kind, answer_kind::unauthorised);
+    EXPECT_EQ(f.hand_in(job, 1, "kwela-key", "/elsewhere/").kind,
+              answer_kind::unknown_queue);
+    EXPECT_EQ(f.show(id_of(9)).kind, answer_kind::unknown_job);
+    EXPECT_EQ(f.cancel(id_of(9)).kind, answer_kind::unknown_job);
+    auto backwards = job;
+    backwards.mutable_steps(0)->add_after(0);
+    EXPECT_EQ(f.hand_in(backwards).kind, answer_kind::invalid);
+    f.world.run_for(duration{500});
+    EXPECT_EQ(f.history.starts, 0);
+}
+
+TEST(a_calm_fleet, accepts_the_same_job_again_without_a_second_run) {
+    virtual_fleet f;
+    const auto job = job_of(id_of(1), "ms=100", 1, small);
+    f.hand_in(job, 1);
+    EXPECT_EQ(f.hand_in(job, 2).kind, answer_kind::accepted);
+    f.wait_for(id_of(1), fleet::JOB_COMPLETED);
+    EXPECT_EQ(f.hand_in(job, 3).kind, answer_kind::accepted);
+    f.world.run_for(duration{500});
+    EXPECT_EQ(f.history.starts, 1);
+}
+
+TEST(a_calm_fleet, stops_a_cancelled_job_and_says_so) {
+    virtual_fleet f;
+    f.hand_in(job_of(id_of(1), "ms=5000", 2, small));
+    f.world.run_until([&] { return f.history.starts == 2; }, duration{1000});
+    EXPECT_EQ(f.cancel(id_of(1), 2).kind, answer_kind::accepted);
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_CANCELLED, duration{500}));
+    EXPECT_TRUE(f.world.run_until([&] { return f.history.at_work.empty(); },
+                                  duration{500}));
+}
+
+TEST(a_calm_fleet, gives_a_job_up_after_its_attempts) {
+    virtual_fleet f;
+    f.hand_in(job_of(id_of(1), "fail", 1, small));
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_FAILED));
+    EXPECT_EQ(f.history.starts, 2);
+}
+
+TEST(a_calm_fleet, follows_configurations_and_never_goes_back) {
+    virtual_fleet f;
+    f.configure(7);
+    f.world.run_for(duration{100});
+    f.configure(3);
+    f.world.run_for(duration{2000});
+    for (int n = 1; n <= 3; ++n)
+        EXPECT_EQ(f.entry(n).calls().config->version, 7);
+}
+
+TEST(a_calm_fleet, reclaims_a_guaranteed_shape_at_once) {
+    virtual_fleet f;
+    // Patient work of another organisation fills all servers.
+    for (int n = 1; n <= 6; ++n)
+        f.hand_in(job_of(id_of(n), "ms=60000", 1, whole_server), 1, "cwm-key");
+    ASSERT_TRUE(f.world.run_until([&] { return f.history.starts == 6; },
+                                  duration{3000}));
+    f.hand_in(gang_of(id_of(99), "ms=500", 2, whole_server), 2, "kwela-key",
+              "/urgent/");
+    EXPECT_TRUE(f.wait_for(id_of(99), fleet::JOB_COMPLETED, duration{2000}));
+    expect_kept(f);
+}
+
+TEST(a_calm_fleet, gives_a_draining_server_no_new_work) {
+    virtual_fleet f;
+    f.server(1).draining = true;
+    f.world.run_for(duration{600});
+    for (int n = 1; n <= 5; ++n)
+        f.hand_in(job_of(id_of(n), "ms=300", 1, whole_server));
+    f.world.run_for(duration{250});
+    EXPECT_EQ(f.server(1).running_count(), 0U);
+    for (int n = 1; n <= 5; ++n)
+        EXPECT_TRUE(f.wait_for(id_of(n), fleet::JOB_COMPLETED));
+}
+
+// ---- When processes end ----
+
+TEST(an_owner, that_is_killed_is_followed_and_its_work_is_adopted) {
+    virtual_fleet f;
+    f.hand_in(job_of(id_of(1), "ms=6000", 4, small), 2);
+    f.world.run_until([&] { return f.history.starts == 4; }, duration{1000});
+    const int old = f.owner_entry();
+    const auto before = f.world.now;
+    f.kill_entry(old);
+    ASSERT_TRUE(
+        f.world.run_until([&] { return f.is_settled(); }, duration{2500}));
+    EXPECT_LE(f.world.now - before, duration{2500});
+    const int other = old == 2 ? 3 : 2;
+    EXPECT_TRUE(
+        f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{10'000}, other));
+    EXPECT_EQ(f.history.starts, 4);
+    expect_kept(f);
+}
+
+TEST(an_owner, that_stops_gracefully_is_followed_within_300_ms) {
+    virtual_fleet f;
+    const int old = f.owner_entry();
+    const auto before = f.world.now;
+    f.entry(old).stop();
+    ASSERT_TRUE(f.world.run_until(
+        [&] { return f.owner_entry() != 0 && f.owner_entry() != old; },
+        duration{300}));
+    EXPECT_LE(f.world.now - before, duration{300});
+}
+
+TEST(an_owner, that_is_cut_from_the_store_is_followed_without_a_double_run) {
+    virtual_fleet f;
+    const int old = f.owner_entry();
+    const int other = old == 1 ? 2 : 1;
+    f.store.fault_of[fmt::format("entry-{}", old)] = store_fault::silent;
+    f.hand_in(job_of(id_of(1), "ms=3000", 4, small), other);
+    EXPECT_TRUE(
+        f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{12'000}, other));
+    f.store.fault_of.clear();
+    f.world.run_for(duration{5000});
+    int owners = 0;
+    for (int n = 1; n <= 3; ++n)
+        owners += f.entry(n).is_owner() ? 1 : 0;
+    EXPECT_EQ(owners, 1);
+    expect_kept(f);
+}
+
+TEST(an_agent, that_restarts_takes_over_what_its_server_runs) {
+    virtual_fleet f;
+    f.hand_in(gang_of(id_of(1), "ms=3000", 3, whole_server));
+    f.world.run_until([&] { return f.history.starts == 3; }, duration{1000});
+    for (int n = 1; n <= 6; ++n)
+        f.kill_agent(n);
+    f.world.run_for(duration{700});
+    for (int n = 1; n <= 6; ++n)
+        f.start_agent(n);
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED));
+    EXPECT_EQ(f.history.starts, 3);
+    expect_kept(f);
+}
+
+// The record of a gang's end was not written yet when another member's end
+// was acknowledged; the next owner then started the gang again.
+TEST(an_end, is_not_forgotten_before_the_whole_gang_is_on_record) {
+    virtual_fleet f;
+    f.hand_in(gang_of(id_of(1), "ms=1000", 3, whole_server));
+    f.world.run_until([&] { return f.history.starts == 3; }, duration{1000});
+    f.world.run_for(duration{500});
+    f.store.fault = store_fault::busy;
+    f.world.run_for(duration{1300});
+    ASSERT_TRUE(f.history.at_work.empty());
+    for (int n = 1; n <= 3; ++n)
+        f.kill_entry(n);
+    f.store.fault = store_fault::none;
+    for (int n = 1; n <= 3; ++n)
+        f.start_entry(n);
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED));
+    f.world.run_for(duration{3000});
+    EXPECT_EQ(f.history.starts, 3);
+    expect_kept(f);
+}
+
+// ---- When the store misbehaves ----
+
+TEST(a_store_outage, of_four_seconds_ends_no_running_work) {
+    virtual_fleet f;
+    f.hand_in(job_of(id_of(1), "ms=7000", 4, small));
+    f.world.run_until([&] { return f.history.starts == 4; }, duration{1000});
+    f.store.fault = store_fault::silent;
+    f.world.run_for(duration{4500});
+    f.store.fault = store_fault::none;
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED));
+    EXPECT_EQ(f.history.starts, 4);
+    expect_kept(f);
+}
+
+TEST(a_store_outage, makes_refusals_that_are_true) {
+    virtual_fleet f;
+    f.store.fault = store_fault::busy;
+    EXPECT_EQ(f.hand_in(job_of(id_of(1), "ms=100", 1, small)).kind,
+              answer_kind::not_run);
+    f.store.fault = store_fault::none;
+    f.world.run_for(duration{5000});
+    EXPECT_EQ(f.history.starts, 0);
+}
+
+TEST(a_store_outage, that_hides_outcomes_is_told_as_such) {
+    virtual_fleet f;
+    f.store.fault = store_fault::late;
+    EXPECT_EQ(f.hand_in(job_of(id_of(1), "ms=100", 1, small)).kind,
+              answer_kind::outcome_unknown);
+    f.store.fault = store_fault::none;
+    EXPECT_EQ(f.hand_in(job_of(id_of(1), "ms=100", 1, small), 2).kind,
+              answer_kind::accepted);
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED));
+    f.world.run_for(duration{5000});
+    EXPECT_EQ(f.history.starts, 1);
+}
+
+TEST(a_store_outage, that_loses_replies_neither_doubles_nor_loses_work) {
+    virtual_fleet f;
+    f.store.fault = store_fault::lost;
+    f.hand_in(job_of(id_of(1), "ms=300", 2, small));
+    f.world.run_for(duration{1000});
+    f.store.fault = store_fault::none;
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED));
+    expect_kept(f);
+}
+
+TEST(a_store_outage, that_drops_history_is_read_over) {
+    virtual_fleet f;
+    f.store.fault_of["entry-2"] = store_fault::silent;
+    f.hand_in(job_of(id_of(1), "ms=100", 1, small), 1);
+    f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{9000}, 1);
+    f.store.compact();
+    f.store.fault_of.clear();
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{4000}, 2));
+}
+
+// ---- When backend servers misbehave ----
+
+TEST(a_backend_server, that_crashes_loses_its_work_to_another) {
+    virtual_fleet f;
+    f.hand_in(job_of(id_of(1), "ms=1000", 1, whole_server));
+    f.world.run_until([&] { return f.history.starts == 1; }, duration{1000});
+    for (int n = 1; n <= 6; ++n)
+        if (f.server(n).running_count() > 0)
+            f.server(n).crash();
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{15'000}));
+    EXPECT_EQ(f.history.starts, 2);
+    expect_kept(f);
+}
+
+TEST(a_backend_server, that_is_back_under_its_id_is_known_for_another_life) {
+    virtual_fleet f;
+    f.hand_in(job_of(id_of(1), "ms=1000", 1, whole_server));
+    f.world.run_until([&] { return f.history.starts == 1; }, duration{1000});
+    for (int n = 1; n <= 6; ++n)
+        if (f.server(n).running_count() > 0)
+            f.server(n).restart();
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{5000}));
+    EXPECT_EQ(f.history.starts, 2);
+    expect_kept(f);
+}
+
+TEST(a_backend_server, that_answers_no_start_is_barred_before_another_try) {
+    for (const auto fault : {call_fault::lost, call_fault::late}) {
+        virtual_fleet f;
+        for (int n = 1; n <= 6; ++n)
+            f.server(n).fault = fault;
+        f.hand_in(job_of(id_of(1), "ms=700", 3, small));
+        f.world.run_for(duration{1200});
+        for (int n = 1; n <= 6; ++n)
+            f.server(n).fault = call_fault::none;
+        EXPECT_TRUE(
+            f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{20'000}));
+        f.world.run_for(duration{5000});
+        expect_kept(f);
+    }
+}
+
+TEST(a_backend_server, that_fails_everything_does_not_use_up_a_job) {
+    virtual_fleet f;
+    f.server(1).fails_everything = true;
+    for (int n = 1; n <= 12; ++n)
+        f.hand_in(job_of(id_of(n), "ms=300", 1, small));
+    for (int n = 1; n <= 12; ++n)
+        EXPECT_TRUE(f.wait_for(id_of(n), fleet::JOB_COMPLETED)) << n;
+}
+
+TEST(a_backend_server, whose_tasks_stand_still_is_left) {
+    virtual_fleet f;
+    f.hand_in(job_of(id_of(1), "ms=500", 1, small));
+    f.wait_for(id_of(1), fleet::JOB_COMPLETED);
+    f.hand_in(job_of(id_of(2), "hang", 1, small));
+    f.world.run_until([&] { return f.history.starts == 2; }, duration{1000});
+    EXPECT_TRUE(f.world.run_until([&] { return f.history.starts >= 3; },
+                                  duration{6000}));
+}
+
+// ---- When the network is cut ----
+
+TEST(an_agent, that_hears_no_owner_lets_its_runs_lapse_before_others_start) {
+    virtual_fleet f;
+    f.hand_in(job_of(id_of(1), "ms=20000", 1, whole_server));
+    f.world.run_until([&] { return f.history.starts == 1; }, duration{1000});
+    for (int n = 1; n <= 6; ++n)
+        if (f.server(n).running_count() > 0)
+            for (int entry = 1; entry <= 3; ++entry)
+                f.set_link(entry, n, false);
+    EXPECT_TRUE(f.world.run_until([&] { return f.history.starts == 2; },
+                                  duration{10'000}));
+    expect_kept(f);
+}
+
+TEST(an_agent, that_is_cut_for_a_moment_keeps_its_work) {
+    virtual_fleet f;
+    f.hand_in(job_of(id_of(1), "ms=6000", 1, whole_server));
+    f.world.run_until([&] { return f.history.starts == 1; }, duration{1000});
+    for (int n = 1; n <= 6; ++n)
+        for (int entry = 1; entry <= 3; ++entry)
+            f.set_link(entry, n, false);
+    f.world.run_for(duration{3000});
+    for (int n = 1; n <= 6; ++n)
+        for (int entry = 1; entry <= 3; ++entry)
+            f.set_link(entry, n, true);
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED));
+    EXPECT_EQ(f.history.starts, 1);
+}
+
+} // namespace celerylift::test
--- /dev/null
+++ b/tests/fleet/virtual_fleet.cpp
@@ -0,0 +1,247 @@
+#include "virtual_fleet.hpp"
+
+#include <fmt/format.h>
+
+namespace celerylift::test {
+
+namespace {
+
+constexpr duration link_delay{1};
+constexpr duration heartbeat_period{500};
+constexpr duration patience{3000};
+
+std::string address_of(int entry) {
+    return fmt::format("10.0.0.{}:7100", entry);
+}
+
+int entry_at(const std::string& address) {
+    return std::stoi(address.substr(address.rfind('.') + 1));
+}
+
+result<fleet::fleet_config> decode(const std::string& text) {
+    fleet::fleet_config config;
+    config.version = std::stoll(text);
+    config.queues.push_back(
+        {"urgent", "host", "/urgent/", "order-desk", 0, 2, 1.5, duration{250}});
+    config.queues.push_back({"normal", "host", "/normal/", "order-desk", 1, 2,
+                             3.0, duration{1000}});
+    config.organisations.push_back({"kwela", {"kwela-key"}, 16});
+    config.organisations.push_back({"cwm-sump", {"cwm-key"}, 8});
+    return config;
+}
+
+} // namespace
+
+virtual_fleet::virtual_fleet(sizes size) : size_(size) {
+    configure(1);
+    for (int n = 1; n <= size_.servers; ++n)
+        servers_[n] = std::make_unique<virtual_server>(
+            world, history, fmt::format("server-{}", n),
+            fmt::format("rack-{}", (n - 1) / size_.servers_in_rack));
+    for (int n = 1; n <= size_.entries; ++n)
+        start_entry(n);
+    for (int n = 1; n <= size_.servers; ++n) {
+        start_agent(n);
+        beat(n);
+    }
+    world.run_until([this] { return is_settled(); }, duration{10'000});
+    world.run_for(duration{1000});
+}
+
+virtual_fleet::~virtual_fleet() = default;
+
+void virtual_fleet::configure(int version) {
+    store.put("op/config", std::to_string(version));
+}
+
+void virtual_fleet::start_entry(int number) {
+    auto p = std::make_unique<entry_process>();
+    const auto name = fmt::format("entry-{}", number);
+    p->process = std::make_unique<virtual_process>(name, world.now, world.log);
+    p->client = store.client(name, p->process->life());
+    fleet::EntryRecord self;
+    self.set_name(name);
+    self.set_address(address_of(number));
+    self.set_incarnation(std::to_string(++lives_));
+    p->node = std::make_unique<fleet::entry_node>(
+        p->process->run, *p->client,
+        fleet::entry_node_settings{self, "op/config", &decode},
+        [this, number](const std::string& agent,
+                       const fleet::FleetEnvelope& envelope) {
+            to_agent(number, agent, envelope);
+        });
+    world.add(p->process.get());
+    p->node->start();
+    entries_[number] = std::move(p);
+}
+
+void virtual_fleet::kill_entry(int number) {
+    auto it = entries_.find(number);
+    if (it == entries_.end())
+        return;
+    world.remove(it->second->process.get());
+    entries_.erase(it);
+}
+
+void virtual_fleet::stop_entry(int number) {
+    entries_.at(number)->node->stop();
+    world.run_for(duration{200});
+    kill_entry(number);
+}
+
+void virtual_fleet::start_agent(int number) {
+    auto p = std::make_unique<agent_process>();
+    const auto name = fmt::format("agent-{}", number);
+    p->process = std::make_unique<virtual_process>(name, world.now, world.log);
+    p->client = servers_.at(number)->client(p->process->life());
+    auto* raw = p.get();
+    p->node = std::make_unique<fleet::agent_node>(
+        p->process->run, *p->client, "za-north-a",
+        fleet::agent_links{
+            [raw](const std::string& address) {
+                raw->connected.insert(address);
+            },
+            [raw](const std::string& address) {
+                raw->connected.erase(address);
+            },
+            [this, number](const std::string& address,
+                           const fleet::FleetEnvelope& envelope) {
+                to_entry(number, address, envelope);
+            }});
+    world.add(p->process.get());
+    agents_[number] = std::move(p);
+    agents_[number]->node->start({address_of(1), address_of(2), address_of(3)});
+}
+
+void virtual_fleet::kill_agent(int number) {
+    auto it = agents_.find(number);
+    if (it == agents_.end())
+        return;
+    world.remove(it->second->process.get());
+    agents_.erase(it);
+}
+
+void virtual_fleet::beat(int agent) {
+    if (agents_.contains(agent))
+        fleet::on_heartbeat(agents_.at(agent)->node->state(),
+                            servers_.at(agent)->heartbeat());
+    world.after(heartbeat_period, [this, agent] { beat(agent); });
+}
+
+void virtual_fleet::set_link(int entry, int agent, bool up) {
+    if (up)
+        cut_.erase({entry, agent});
+    else
+        cut_.insert({entry, agent});
+}
+
+void virtual_fleet::to_entry(int agent, const std::string& address,
+                             const fleet::FleetEnvelope& envelope) {
+    const int number = entry_at(address);
+    world.after(link_delay, [this, agent, number, envelope] {
+        if (entries_.contains(number) && is_up(number, agent))
+            entries_.at(number)->node->on_message(
+                fmt::format("agent-{}", agent), envelope);
+    });
+}
+
+void virtual_fleet::to_agent(int entry, const std::string& agent,
+                             const fleet::FleetEnvelope& envelope) {
+    const int number = std::stoi(agent.substr(agent.rfind('-') + 1));
+    world.after(link_delay, [this, entry, number, envelope] {
+        if (agents_.contains(number) && is_up(entry, number))
+            agents_.at(number)->node->on_message(address_of(entry), envelope);
+    });
+}
+
+int virtual_fleet::owner_entry() const {
+    int found = 0;
+    for (const auto& [number, p] : entries_)
+        if (p->node->is_owner())
+            found = number;
+    return found;
+}
+
+bool virtual_fleet::is_settled() const {
+    const int owner = owner_entry();
+    if (owner == 0)
+        return false;
+    const auto& servers = entries_.at(owner)->node->decisions().servers;
+    std::size_t heard = 0;
+    for (const auto& [agent, s] : servers)
+        heard += s.heard && !s.state.incarnation().empty() ? 1 : 0;
+    return heard == agents_.size();
+}
+
+fleet::caller virtual_fleet::caller_for(const std::string& id,
+                                        const std::string& key,
+                                        const std::string& path) const {
+    return {"host", path + id, key, world.now + patience};
+}
+
+fleet::answer
+virtual_fleet::wait_for_answer(std::optional<fleet::answer>& slot) {
+    world.run_until([&] { return slot.has_value(); }, patience + patience);
+    return slot.value_or(fleet::answer{});
+}
+
+fleet::answer virtual_fleet::hand_in(const fleet::Submission& job, int entry,
+                                     const std::string& key,
+                                     const std::string& path) {
+    auto slot = std::make_shared<std::optional<fleet::answer>>();
+    history.payloads[job.id()] = job.payload();
+    path_of_[job.id()] = path;
+    fleet::hand_in(entries_.at(entry)->node->calls(),
+                   caller_for(job.id(), key, path), job,
+                   [slot](const fleet::answer& a) { *slot = a; });
+    return wait_for_answer(*slot);
+}
+
+fleet::answer virtual_fleet::show(const std::string& id, int entry) {
+    auto slot = std::make_shared<std::optional<fleet::answer>>();
+    fleet::show_state(entries_.at(entry)->node->calls(),
+                      caller_for(id, "kwela-key", "/normal/"), id,
+                      [slot](const fleet::answer& a) { *slot = a; });
+    return wait_for_answer(*slot);
+}
+
+fleet::answer virtual_fleet::cancel(const std::string& id, int entry) {
+    auto slot = std::make_shared<std::optional<fleet::answer>>();
+    fleet::cancel(entries_.at(entry)->node->calls(),
+                  caller_for(id, "kwela-key", "/normal/"), id,
+                  [slot](const fleet::answer& a) { *slot = a; });
+    return wait_for_answer(*slot);
+}
+
+bool virtual_fleet::wait_for(const std::string& id, fleet::JobState state,
+                             duration limit, int entry) {
+    return world.run_until(
+        [&] {
+            return entries_.contains(entry) &&
+                   fleet::shown_state(entries_.at(entry)->node->jobs(), id) ==
+                       state;
+        },
+        limit);
+}
+
+fleet::Submission job_of(const std::string& id, const std::string& payload,
+                         int count, fleet::resources each) {
+    fleet::Submission job;
+    job.set_id(id);
+    job.set_payload(payload);
+    auto* step = job.add_steps();
+    step->set_count(count);
+    fleet::to_record(each, step->mutable_each());
+    step->set_estimate_ms(1000);
+    return job;
+}
+
+fleet::Submission gang_of(const std::string& id, const std::string& payload,
+                          int count, fleet::resources each) {
+    auto job = job_of(id, payload, count, each);
+    job.mutable_steps(0)->set_gang(true);
+    job.mutable_steps(0)->set_same_rack(true);
+    return job;
+}
+
+} // namespace celerylift::test
--- /dev/null
+++ b/tests/fleet/virtual_fleet.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "virtual_server.hpp"
+#include "virtual_store.hpp"
+#include "virtual_world.hpp"
+
+#include <celerylift/fleet/agent_node.hpp>
+#include <celerylift/fleet/entry_node.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace celerylift::test {
+
+/// A whole fleet in virtual time: the product's own entries and agents, with
+/// stand-ins for the store and the backend servers.
+class virtual_fleet {
+public:
+    struct sizes {
+        int entries;
+        int servers;
+        int servers_in_rack;
+    };
+
+    virtual_fleet() : virtual_fleet(sizes{3, 6, 3}) {}
+    explicit virtual_fleet(sizes size);
+    ~virtual_fleet();
+
+    virtual_world world;
+    virtual_store store{world};
+    run_history history;
+
+    /// Ends a process at once.
+    void kill_entry(int number);
+    void kill_agent(int number);
+    void start_entry(int number);
+    void start_agent(int number);
+    /// Ends an entry gracefully.
+    void stop_entry(int number);
+
+    /// Cuts or restores the way between an entry and an agent.
+    void set_link(int entry, int agent, bool up);
+
+    int owner_entry() const; // 0: none.
+    bool is_settled() const; // One owner that has heard every agent.
+
+    virtual_server& server(int number) { return *servers_.at(number); }
+    fleet::entry_node& entry(int number) { return *entries_.at(number)->node; }
+
+    /// Hands a job in at an entry and waits for the answer.
+    fleet::answer hand_in(const fleet::Submission& job, int entry = 1,
+                          const std::string& key = "kwela-key",
+                          const std::string& path = "/normal/");
+    fleet::answer show(const std::string& id, int entry = 1);
+    fleet::answer cancel(const std::string& id, int entry = 1);
+
+    /// Runs until an entry shows a state.
+    bool wait_for(const std::string& id, fleet::JobState state,
+                  duration limit = duration{30'000}, int entry = 1);
+
+    /// Writes a configuration: queues urgent and normal, organisations kwela
+    /// with sixteen guaranteed accelerators and cwm-sump with eight.
+    void configure(int version);
+
+private:
+    struct entry_process {
+        std::unique_ptr<virtual_process> process;
+        std::unique_ptr<fleet::store> client;
+        std::unique_ptr<fleet::entry_node> node;
+    };
+    struct agent_process {
+        std::unique_ptr<virtual_process> process;
+        std::unique_ptr<fleet::backend_server> client;
+        std::unique_ptr<fleet::agent_node> node;
+        std::set<std::string> connected;
+    };
+
+    void beat(int agent);
+    void to_entry(int agent, const std::string& address,
+                  const fleet::FleetEnvelope& envelope);
+    void to_agent(int entry, const std::string& agent,
+                  const fleet::FleetEnvelope& envelope);
+    bool is_up(int entry, int agent) const {
+        return !cut_.contains({entry, agent});
+    }
+    fleet::answer wait_for_answer(std::optional<fleet::answer>& slot);
+    fleet::caller caller_for(const std::string& id, const std::string& key,
+                             const std::string& path) const;
+
+    sizes size_;
+    int lives_ = 0;
+    std::map<int, std::unique_ptr<virtual_server>> servers_;
+    std::map<int, std::unique_ptr<entry_process>> entries_;
+    std::map<int, std::unique_ptr<agent_process>> agents_;
+    std::set<std::pair<int, int>> cut_;
+    std::map<std::string, std::string> path_of_;
+};
+
+/// A job of one step.
+fleet::Submission job_of(const std::string& id, const std::string& payload,
+                         int count, fleet::resources each);
+
+/// Like job_of, as a gang on one rack.
+fleet::Submission gang_of(const std::string& id, const std::string& payload,
+                          int count, fleet::resources each);
+
+} // namespace celerylift::test
--- /dev/null
+++ b/tests/fleet/virtual_server.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "virtual_world.hpp"
+
+#include <celerylift/fleet/backend_server.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace celerylift::test {
+
+/// What is wrong between an agent and its backend server.
+enum class call_fault {
+    none,
+    lost, // Calls are done, and their replies are lost.
+    late, // Calls are done three seconds later, without a reply.
+    silent
+};
+
+/// What all servers have done, and the promises that were broken by it.
+struct run_history {
+    struct done_run {
+        std::string task;
+        int run = 0;
+        time_point at{};
+        bool noted = false;
+    };
+    std::map<std::string, std::string> at_work; // Task to server.
+    std::map<std::string, std::vector<done_run>> done;
+    std::vector<std::string> broken;
+    int starts = 0;
+    std::map<std::string, std::string> payloads; // What was handed in.
+};
+
+/// A stand-in for a backend server, in virtual time. A payload "ms=N" runs
+/// that long; "fail" fails after 50 ms; "hang" makes no progress.
+class virtual_server {
+public:
+    virtual_server(virtual_world& world, run_history& history, std::string id,
+                   std::string rack);
+
+    fleet::server_heartbeat heartbeat();
+
+    /// A client of its own for each process.
+    std::unique_ptr<fleet::backend_server> client(std::weak_ptr<int> life);
+
+    /// Ends at once; what it ran and knew is gone.
+    void crash();
+    /// Starts again under the same id.
+    void restart();
+
+    call_fault fault = call_fault::none;
+    bool fails_everything = false;
+    bool draining = false;
+    fleet::resources capacity{128'000, 262'144, 8};
+    int duration_percent = 100;
+
+    std::size_t running_count() const { return runs_.size(); }
+    std::int64_t highest_fence() const { return fence_; }
+    const std::string& id() const { return id_; }
+
+private:
+    struct run {
+        std::string payload;
+        time_point began{};
+        time_point ends{};
+        bool fails = false;
+    };
+    using key = std::pair<std::string, int>;
+    friend class virtual_server_client;
+
+    fleet::server_reply start(const fleet::start_call& call);
+    fleet::server_reply stop(const fleet::stop_call& call);
+    fleet::hold_reply look(const fleet::hold_call& call);
+    void extend(std::int64_t deadline_ms);
+    void tick();
+    void end(const key& which, fleet::RunEnd how);
+    std::int64_t clock() const;
+    bool takes_fence(std::int64_t fence);
+
+    virtual_world& world_;
+    run_history& history_;
+    std::string id_;
+    std::string rack_;
+    bool up_ = true;
+    time_point born_{};
+    std::int64_t sequence_ = 0;
+    std::int64_t fence_ = 0;
+    std::int64_t last_end_ = 0;
+    std::int64_t deadline_ms_ = 0;
+    std::map<key, run> runs_;
+    std::map<std::string, int> barred_up_to_;
+    std::vector<fleet::EndedTask> ended_;
+    std::uint64_t life_ = 0;
+};
+
+} // namespace celerylift::test
--- /dev/null
+++ b/tests/fleet/virtual_store.cpp
@@ -0,0 +1,271 @@
+#include "virtual_store.hpp"
+
+#include <memory>
+
+namespace celerylift::test {
+
+namespace {
+
+constexpr duration late_by{3000};
+constexpr duration watch_poll{5};
+constexpr std::size_t page_size = 20;
+
+} // namespace
+
+/// One process's way to the store.
+class virtual_store_client : public fleet::store {
+public:
+    virtual_store_client(virtual_store& store, std::string name,
+                         std::weak_ptr<int> life)
+        : store_(store), name_(std::move(name)), life_(std::move(life)) {}
+
+    void transact(const fleet::store_transaction& t, duration timeout,
+                  fleet::when_done<fleet::transaction_reply> done) override {
+        call<fleet::transaction_reply>(
+            true, timeout, std::move(done),
+            [&s = store_, t] { return s.transact(t); });
+    }
+    void read(const std::string& key, duration timeout,
+              fleet::when_done<fleet::read_reply> done) override {
+        call<fleet::read_reply>(
+            false, timeout, std::move(done), [&s = store_, key] {
+                fleet::read_reply reply;
+                const auto item = s.get(key);
+                reply.status = item ? fleet::store_status::ok
+                                    : fleet::store_status::not_found;
+                if (item)
+                    reply.item = *item;
+                reply.as_of = s.revision_;
+                return reply;
+            });
+    }
+    void range(const std::string& prefix, const std::string& after,
+               duration timeout,
+               fleet::when_done<fleet::range_reply> done) override {
+        call<fleet::range_reply>(
+            false, timeout, std::move(done),
+            [&s = store_, prefix, after] { return s.range(prefix, after); });
+    }
+    void watch(const std::string& prefix, std::int64_t after, duration wait,
+               duration timeout,
+               fleet::when_done<fleet::watch_reply> done) override {
+        poll(prefix, after, store_.world_.now + wait,
+             store_.world_.now + timeout, std::move(done));
+    }
+    void grant_lease(duration ttl, duration timeout,
+                     fleet::when_done<fleet::lease_reply> done) override {
+        call<fleet::lease_reply>(true, timeout, std::move(done),
+                                 [&s = store_, ttl] { return s.grant(ttl); });
+    }
+    void renew_lease(std::int64_t lease, duration timeout,
+                     fleet::when_done<fleet::lease_reply> done) override {
+        call<fleet::lease_reply>(
+            true, timeout, std::move(done),
+            [&s = store_, lease] { return s.renew(lease); });
+    }
+    void end_lease(std::int64_t lease, duration timeout,
+                   fleet::when_done<fleet::lease_reply> done) override {
+        call<fleet::lease_reply>(true, timeout, std::move(done),
+                                 [&s = store_, lease] { return s.end(lease); });
+    }
+
+private:
+    store_fault fault() const {
+        const auto it = store_.fault_of.find(name_);
+        return it == store_.fault_of.end() ? store_.fault : it->second;
+    }
+
+    template <class Reply>
+    void reply_after(duration delay, fleet::when_done<Reply> done,
+                     const Reply& reply) {
+        store_.world_.after(delay, life_,
+                            [done = std::move(done), reply] { done(reply); });
+    }
+
+    template <class Reply, class Act>
+    void call(bool writes, duration timeout, fleet::when_done<Reply> done,
+              Act act) {
+        auto& world = store_.world_;
+        const auto way = store_.one_way;
+        Reply none;
+        none.status = fleet::store_status::unknown;
+        Reply refused;
+        refused.status = fleet::store_status::refused;
+        const auto now = fault();
+        if (now == store_fault::silent)
+            return reply_after(timeout, std::move(done), none);
+        if (now == store_fault::busy)
+            return reply_after(2 * way, std::move(done), refused);
+        if (now == store_fault::lost && writes) {
+            world.after(way, [act] { act(); });
+            return reply_after(timeout, std::move(done), none);
+        }
+        if (now == store_fault::late && writes) {
+            world.after(late_by, [act] { act(); });
+            return reply_after(timeout, std::move(done), none);
+        }
+        world.after(way, [this, act, done, way, life = life_] {
+            if (life.lock())
+                reply_after(way, done, act());
+            else
+                act();
+        });
+    }
+
+    void poll(const std::string& prefix, std::int64_t after, time_point until,
+              time_point give_up, fleet::when_done<fleet::watch_reply> done) {
+        store_.world_.after(watch_poll, life_, [=, this] {
+            const auto now = store_.world_.now;
+            fleet::watch_reply reply;
+            if (fault() == store_fault::silent ||
+                fault() == store_fault::busy) {
+                if (now >= give_up || fault() == store_fault::busy)
+                    return done(reply);
+                return poll(prefix, after, until, give_up, done);
+            }
+            const auto found = store_.changes(prefix, after);
+            if (!found) {
+                reply.status = fleet::store_status::compacted;
+                return done(reply);
+            }
+            if (!found->changes.empty() || now >= until)
+                return done(*found);
+            poll(prefix, after, until, give_up, done);
+        });
+    }
+
+    virtual_store& store_;
+    std::string name_;
+    std::weak_ptr<int> life_;
+};
+
+std::unique_ptr<fleet::store> virtual_store::client(const std::string& name,
+                                                    std::weak_ptr<int> life) {
+    return std::make_unique<virtual_store_client>(*this, name, std::move(life));
+}
+
+void virtual_store::expire() {
+    std::vector<std::int64_t> ended;
+    for (const auto& [id, l] : leases_)
+        if (world_.now >= l.ends)
+            ended.push_back(id);
+    for (const auto id : ended)
+        end(id);
+}
+
+void virtual_store::remove(const std::string& key) {
+    if (items_.erase(key) == 0)
+        return;
+    history_.push_back({{key, "", ++revision_}, true});
+}
+
+void virtual_store::put(const std::string& key, const std::string& value) {
+    fleet::store_transaction t;
+    t.puts.push_back({key, value, 0});
+    transact(t);
+}
+
+std::optional<fleet::store_item>
+virtual_store::get(const std::string& key) const {
+    const auto it = items_.find(key);
+    if (it == items_.end())
+        return std::nullopt;
+    return fleet::store_item{key, it->second.value, it->second.revision};
+}
+
+void virtual_store::compact() {
+    history_.clear();
+    compacted_ = revision_;
+}
+
+fleet::transaction_reply
+virtual_store::transact(const fleet::store_transaction& t) {
+    expire();
+    fleet::transaction_reply reply;
+    for (const auto& put : t.puts)
+        if (put.lease != 0 && !leases_.contains(put.lease)) {
+            reply.status = fleet::store_status::not_found;
+            return reply;
+        }
+    bool fits = true;
+    for (const auto& condition : t.expected) {
+        const auto item = get(condition.key);
+        fits = fits && condition.revision == (item ? item->revision : 0);
+        if (item)
+            reply.current.push_back(*item);
+    }
+    if (!fits) {
+        reply.status = fleet::store_status::conflict;
+        return reply;
+    }
+    reply.current.clear();
+    ++revision_;
+    for (const auto& put : t.puts) {
+        items_[put.key] = {put.value, revision_, put.lease};
+        history_.push_back({{put.key, put.value, revision_}, false});
+    }
+    for (const auto& key : t.removals)
+        if (items_.erase(key) > 0)
+            history_.push_back({{key, "", revision_}, true});
+    reply.status = fleet::store_status::ok;
+    reply.revision = revision_;
+    return reply;
+}
+
+fleet::range_reply virtual_store::range(const std::string& prefix,
+                                        const std::string& after) const {
+    fleet::range_reply reply;
+    reply.status = fleet::store_status::ok;
+    reply.as_of = revision_;
+    for (const auto& [key, kept] : items_) {
+        if (!key.starts_with(prefix) || key <= after)
+            continue;
+        if (reply.items.size() == page_size) {
+            reply.has_more = true;
+            break;
+        }
+        reply.items.push_back({key, kept.value, kept.revision});
+    }
+    return reply;
+}
+
+std::optional<fleet::watch_reply>
+virtual_store::changes(const std::string& prefix, std::int64_t after) const {
+    const_cast<virtual_store*>(this)->expire();
+    if (after < compacted_)
+        return std::nullopt;
+    fleet::watch_reply reply;
+    reply.status = fleet::store_status::ok;
+    reply.as_of = revision_;
+    for (const auto& change : history_)
+        if (change.item.revision > after && change.item.key.starts_with(prefix))
+            reply.changes.push_back(change);
+    return reply;
+}
+
+fleet::lease_reply virtual_store::grant(duration ttl) {
+    leases_[++last_lease_] = {ttl, world_.now + ttl};
+    return {fleet::store_status::ok, last_lease_, ttl};
+}
+
+fleet::lease_reply virtual_store::renew(std::int64_t id) {
+    expire();
+    auto it = leases_.find(id);
+    if (it == leases_.end())
+        return {fleet::store_status::not_found, id, duration{0}};
+    it->second.ends = world_.now + it->second.ttl;
+    return {fleet::store_status::ok, id, it->second.ttl};
+}
+
+fleet::lease_reply virtual_store::end(std::int64_t id) {
+    leases_.erase(id);
+    std::vector<std::string> keys;
+    for (const auto& [key, kept] : items_)
+        if (kept.lease == id)
+            keys.push_back(key);
+    for (const auto& key : keys)
+        remove(key);
+    return {fleet::store_status::ok, id, duration{0}};
+}
+
+} // namespace celerylift::test
--- /dev/null
+++ b/tests/fleet/virtual_world.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <celerylift/base/timer_service.hpp>
+#include <celerylift/fleet/runtime.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace celerylift::test {
+
+/// One process in virtual time: its timers, journal and counters. What is
+/// scheduled for it is dropped once it has ended.
+class virtual_process {
+public:
+    virtual_process(const std::string& name, const time_point& now,
+                    std::vector<std::string>& log)
+        : journal(
+              name, [&now] { return now.time_since_epoch().count(); },
+              [&log](std::string line) { log.push_back(std::move(line)); }),
+          run{timers, [&now] { return now; },
+              [&now] { return now.time_since_epoch().count(); }, journal,
+              metrics} {}
+
+    std::weak_ptr<int> life() const { return life_; }
+
+    base::timer_service timers;
+    base::journal journal;
+    base::metrics metrics;
+    fleet::runtime run;
+
+private:
+    std::shared_ptr<int> life_ = std::make_shared<int>(0);
+};
+
+/// Virtual time: events run in order of time, then of scheduling.
+class virtual_world {
+public:
+    time_point now{duration{1'000'000}};
+    std::vector<std::string> log; // What all processes have written.
+
+    void after(duration delay, std::function<void()> event) {
+        events_.once(now + delay,
+                     [event = std::move(event)](time_point) { event(); });
+    }
+
+    /// Runs an event only if a process still lives by then.
+    void after(duration delay, std::weak_ptr<int> life,
+               std::function<void()> event) {
+        after(delay, [life = std::move(life), event = std::move(event)] {
+            if (life.lock())
+                event();
+        });
+    }
+
+    void add(virtual_process* process) { processes_.push_back(process); }
+    void remove(virtual_process* process) { std::erase(processes_, process); }
+
+    void run_for(duration time) {
+        const auto end = now + time;
+        while (now < end) {
+            now += duration{1};
+            events_.advance(now);
+            // A process may end another one.
+            const auto running = processes_;
+            for (auto* process : running)
+                if (std::find(processes_.begin(), processes_.end(), process) !=
+                    processes_.end())
+                    process->timers.advance(now);
+        }
+    }
+
+    /// Runs until a condition holds, for at most a time. Returns whether it
+    /// does.
+    bool run_until(const std::function<bool()>& holds, duration limit) {
+        const auto end = now + limit;
+        while (now < end && !holds())
+            run_for(duration{5});
+        return holds();
+    }
+
+private:
+    base::timer_service events_;
+    std::vector<virtual_process*> processes_;
+};
+
+} // namespace celerylift::test
