Wait for another server rather than spend a last attempt where it failed

Cause: a gang that had failed on a server was placed there again at once, because the other servers of its rack were busy, and used up its job.

Ruled out: the distrust of the server (it only orders servers with room).

Change: the server is avoided unless even an idle fleet has no other for it.

--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -144,6 +144,17 @@
         request.same_rack = false;
 }
 
+/// A job doesn't spend its last attempt where it failed before, but waits for
+/// another server; unless even an idle fleet has no other.
+void relax_avoidance(const owner& o, placement_request& request) {
+    if (request.avoid.empty())
+        return;
+    auto one = request;
+    one.count = 1;
+    if (!could_fit(usable_rooms(o), request.same_rack ? request : one))
+        request.avoid.clear();
+}
+
 void place_gang(owner& o, job& j, const waiting_unit& unit) {
     auto& at = j.occurrences[unit.occurrence];
     auto& tasks = at.steps[static_cast<std::size_t>(unit.step)].tasks;
@@ -158,11 +169,8 @@
     auto rooms = usable_rooms(o);
     relax_rack(o, rooms, tasks, request);
     withhold_reserved(rooms, o, &unit);
-    auto chosen = place(rooms, request);
-    if (chosen.empty() && !request.avoid.empty()) {
-        request.avoid.clear();
-        chosen = place(rooms, request);
-    }
+    relax_avoidance(o, request);
+    const auto chosen = place(rooms, request);
     if (chosen.empty()) {
         if (!has_reservation(o, unit))
             reclaim(o, j, at, unit.step, request);
@@ -186,11 +194,8 @@
         request.avoid.clear();
         if (!t.avoid_agent.empty())
             request.avoid.insert(t.avoid_agent);
-        auto chosen = place(rooms, request);
-        if (chosen.empty() && !request.avoid.empty()) {
-            request.avoid.clear();
-            chosen = place(rooms, request);
-        }
+        relax_avoidance(o, request);
+        const auto chosen = place(rooms, request);
         if (chosen.empty()) {
             ++left;
             continue;
--- a/tests/fleet/virtual_fleet.cpp
+++ b/tests/fleet/virtual_fleet.cpp
@@ -190,13 +190,43 @@
                                      const std::string& path) {
     auto slot = std::make_shared<std::optional<fleet::answer>>();
     history.payloads[job.id()] = job.payload();
-    path_of_[job.id()] = path;
     fleet::hand_in(entries_.at(entry)->node->calls(),
                    caller_for(job.id(), key, path), job,
                    [slot](const fleet::answer& a) { *slot = a; });
     return wait_for_answer(*slot);
 }
 
+void virtual_fleet::hand_in_later(const fleet::Submission& job, int entry,
+                                  const std::string& key,
+                                  const std::string& path) {
+    history.payloads[job.id()] = job.payload();
+    wishes_[job.id()] = {job, key, path};
+    if (entries_.contains(entry))
+        fleet::hand_in(entries_.at(entry)->node->calls(),
+                       caller_for(job.id(), key, path), job,
+                       [](const fleet::answer&) {});
+}
+
+void virtual_fleet::hand_in_missing() {
+    if (entries_.empty())
+        return;
+    const int entry = entries_.begin()->first;
+    for (const auto& [id, w] : std::map(wishes_))
+        if (!state_anywhere(id))
+            hand_in_later(w.job, entry, w.key, w.path);
+}
+
+std::optional<fleet::JobState>
+virtual_fleet::state_anywhere(const std::string& id) const {
+    std::optional<fleet::JobState> found;
+    for (const auto& [number, p] : entries_) {
+        const auto state = fleet::shown_state(p->node->jobs(), id);
+        if (state && (!found || fleet::is_over(*state)))
+            found = state;
+    }
+    return found;
+}
+
 fleet::answer virtual_fleet::show(const std::string& id, int entry) {
     auto slot = std::make_shared<std::optional<fleet::answer>>();
     fleet::show_state(entries_.at(entry)->node->calls(),
--- a/tests/fleet/virtual_fleet.hpp
+++ b/tests/fleet/virtual_fleet.hpp
@@ -48,6 +48,9 @@
     int owner_entry() const; // 0: none.
     bool is_settled() const; // One owner that has heard every agent.
 
+    bool has_entry(int number) const { return entries_.contains(number); }
+    bool has_agent(int number) const { return agents_.contains(number); }
+
     virtual_server& server(int number) { return *servers_.at(number); }
     fleet::entry_node& entry(int number) { return *entries_.at(number)->node; }
 
@@ -55,6 +58,13 @@
     fleet::answer hand_in(const fleet::Submission& job, int entry = 1,
                           const std::string& key = "kwela-key",
                           const std::string& path = "/normal/");
+    /// Hands a job in and does not wait.
+    void hand_in_later(const fleet::Submission& job, int entry,
+                       const std::string& key, const std::string& path);
+    /// Hands in again, at any entry, what no entry knows.
+    void hand_in_missing();
+    /// The state that some entry shows, preferring one that is final.
+    std::optional<fleet::JobState> state_anywhere(const std::string& id) const;
     fleet::answer show(const std::string& id, int entry = 1);
     fleet::answer cancel(const std::string& id, int entry = 1);
 
@@ -97,7 +107,12 @@
     std::map<int, std::unique_ptr<entry_process>> entries_;
     std::map<int, std::unique_ptr<agent_process>> agents_;
     std::set<std::pair<int, int>> cut_;
-    std::map<std::string, std::string> path_of_;
+    struct wish {
+        fleet::Submission job;
+        std::string key;
+        std::string path;
+    };
+    std::map<std::string, wish> wishes_;
 };
 
 /// A job of one step.
