Keep the checkpoints of running tasks on record

Ruled out: the platform losing saved values (starts that carried one resumed).

Change: a checkpoint seen in the list of runs is kept, and written with its job every 1.5 s at most.

Test: that_crashes_leaves_its_checkpoints_behind failed before.

--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -63,6 +63,7 @@
     std::uint64_t stored_version = 0;
     std::int64_t record_revision = 0; // Of the progress record in the store.
     bool write_in_flight = false;
+    time_point checkpoints_stored_at{};
     time_point seen_at{};
 };
 
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -14,6 +14,10 @@
 /// eight times slower every second.
 constexpr duration longest_standstill{3000};
 constexpr duration longest_gang_standstill{5000};
+/// How often the checkpoints of a job are written. A start that resumes loses
+/// this much at most; each write is one call for up to fifteen jobs.
+constexpr duration checkpoint_period{1500};
+
 constexpr duration distrust_after_standstill{8000};
 
 /// How long jobs that have ended stay known; see the callers' interface.
@@ -25,6 +29,17 @@
     return t.incarnation == s.state.incarnation();
 }
 
+/// What a running task has saved outlives its server only on record.
+void keep_checkpoint(owner& o, job& j, task& t, const std::string& checkpoint) {
+    if (checkpoint.empty() || checkpoint == t.checkpoint)
+        return;
+    t.checkpoint = checkpoint;
+    if (o.run.now() < j.checkpoints_stored_at + checkpoint_period)
+        return;
+    j.checkpoints_stored_at = o.run.now();
+    touch(j);
+}
+
 void take_running(owner& o, server& s, const AgentReport& report) {
     s.running.assign(report.running().begin(), report.running().end());
     for (const auto& r : s.running) {
@@ -42,6 +57,7 @@
                                              {"agent", s.agent}});
         t->seen_running = true;
         t->percent = r.percent();
+        keep_checkpoint(o, it->second, *t, r.checkpoint());
     }
 }
 
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -319,6 +319,24 @@
     expect_kept(f);
 }
 
+// Work was begun anew after a loss of power, because checkpoints were noted
+// only when a run ended.
+TEST(a_backend_server, that_crashes_leaves_its_checkpoints_behind) {
+    virtual_fleet f;
+    f.hand_in(job_of(id_of(1), "ms=8000", 1, whole_server));
+    f.world.run_for(duration{5000});
+    for (int n = 1; n <= 3; ++n)
+        f.kill_entry(n);
+    for (int n = 1; n <= 6; ++n)
+        f.server(n).restart();
+    for (int n = 1; n <= 3; ++n)
+        f.start_entry(n);
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{12'000}));
+    ASSERT_EQ(f.history.resumed_from.size(), 1U);
+    EXPECT_GE(f.history.resumed_from[0], duration{2000});
+    expect_kept(f);
+}
+
 TEST(a_backend_server, that_is_back_under_its_id_is_known_for_another_life) {
     virtual_fleet f;
     f.hand_in(job_of(id_of(1), "ms=1000", 1, whole_server));
--- a/tests/fleet/virtual_server.cpp
+++ b/tests/fleet/virtual_server.cpp
@@ -211,7 +211,11 @@
     else if (!r.fails && call.payload.starts_with("ms="))
         time = duration{std::stoll(call.payload.substr(3))} * duration_percent /
                percent;
-    r.ends = world_.now + time;
+    if (!call.checkpoint.empty()) {
+        r.saved = duration{std::stoll(call.checkpoint)};
+        history_.resumed_from.push_back(r.saved);
+    }
+    r.ends = world_.now + std::max(duration{1}, time - r.saved);
     runs_[which] = r;
     extend(call.deadline_ms);
     reply.status = fleet::server_status::ok;
@@ -255,6 +259,9 @@
         t.set_percent(
             static_cast<int>((world_.now - r.began) * percent /
                              std::max(duration{1}, r.ends - r.began)));
+        if (r.payload.starts_with("ms="))
+            t.set_checkpoint(
+                fmt::format("{}", (r.saved + world_.now - r.began).count()));
         reply.running.push_back(t);
     }
     reply.ended = ended_;
--- a/tests/fleet/virtual_server.hpp
+++ b/tests/fleet/virtual_server.hpp
@@ -32,6 +32,7 @@
     std::map<std::string, std::vector<done_run>> done;
     std::vector<std::string> broken;
     int starts = 0;
+    std::vector<duration> resumed_from;          // By starts with a checkpoint.
     std::map<std::string, std::string> payloads; // What was handed in.
 };
 
@@ -68,6 +69,7 @@
         time_point began{};
         time_point ends{};
         bool fails = false;
+        duration saved{0};
     };
     using key = std::pair<std::string, int>;
     friend class virtual_server_client;
