Leave hung and slow servers by the servers' own clocks; count late successes

Cause: a hung task was noticed after 3 to 5 s, longer than urgent jobs have, by lists whose age was not known; slow servers were not noticed at all. The matrix of faults also showed an agent that returned with the end of a run that had been given up: the end was acknowledged, and the task run once more.

Ruled out: shorter lists of runs (they come once a second at most and cost a call each).

Change: lists carry the server's clock; a run without progress for 1.8 s of that clock (2.8 s in a gang) is stopped and run elsewhere. A server on which tasks would take four times what such tasks usually run, or two tasks twice that, gets work last, and tasks with much left leave it once. A late success ends its task, and a newer run is stopped.

Runs that were adopted or resumed are now no measure.

Tests: that_is_slow_is_left_once_by_what_it_runs, that_returns_with_work_done_spares_another_run, is_not_measured_by_runs_that_were_adopted.

--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -31,12 +31,18 @@
     std::uint64_t assigned_in = 0;
     bool stopping = false;
     bool seen_running = false;
+    int done_run = 0;          // The run that was done.
+    bool from_scratch = false; // This owner has started it, with nothing saved.
+    bool moved = false;        // Once, for its server's slowness.
     /// Has ended or can't begin, while other members of its gang may run.
     bool resolved = false;
     int failed_run = 0; // The gang's run whose failure it was counted for.
+    /// Progress as the server lists it, by the server's clock.
     int percent = 0;
+    int first_percent = 0;
+    std::int64_t first_seen_ms = 0;
+    std::int64_t progressed_ms = 0;
     time_point assigned_at{};
-    time_point progressed_at{};
     time_point waiting_since{};
     std::string avoid_agent; // Where it failed or stood still last.
 };
--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -38,6 +38,7 @@
     /// Nothing that was granted so far can run beyond this time.
     time_point granted_until{};
     std::vector<RunningTask> running;
+    std::int64_t lists_as_of_ms = 0; // By the server's clock.
     std::set<task_name> assigned;
     std::int64_t applied_up_to = 0;
     std::int64_t noted_up_to = 0;
@@ -55,6 +56,12 @@
     time_point expires{};
 };
 
+/// How long a task of a queue has run of late.
+struct learned_run {
+    duration usual{0};
+    int samples = 0;
+};
+
 /// The one process that decides what runs where. It is rebuilt from the store
 /// and from the agents' reports by whoever owns the cell.
 struct owner {
@@ -72,8 +79,7 @@
     std::map<std::string, job> jobs{};
     std::map<std::string, server> servers{};
     std::vector<reservation> reservations{};
-    /// How long a task of each queue has run of late.
-    std::map<std::string, duration> usual_run{};
+    std::map<std::string, learned_run> learned_runs{}; // By queue.
     std::set<std::string> changed_agents{};
     int writes_in_flight = 0;
     time_point write_again_at{};
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -175,6 +175,7 @@
             server->add_labels(label);
         server->set_draining(a.server.draining || a.stopping);
         server->set_departed(a.departed);
+        report.set_lists_as_of_ms(a.listed_clock_ms);
         for (const auto& r : a.running)
             *report.add_running() = r;
         for (const auto& e : a.ended)
--- a/modules/fleet/src/jobs.cpp
+++ b/modules/fleet/src/jobs.cpp
@@ -113,7 +113,6 @@
         t->incarnation = record.incarnation();
         t->checkpoint = record.checkpoint();
         t->assigned_at = now;
-        t->progressed_at = now;
     }
 }
 
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -9,17 +9,6 @@
 
 namespace {
 
-/// Silence of a running task's progress after which it is taken for hung. A
-/// task of ten seconds shows progress every tenth of a second, and a server
-/// eight times slower every second.
-constexpr duration longest_standstill{3000};
-constexpr duration longest_gang_standstill{5000};
-/// How often the checkpoints of a job are written. A start that resumes loses
-/// this much at most; each write is one call for up to fifteen jobs.
-constexpr duration checkpoint_period{1500};
-
-constexpr duration distrust_after_standstill{8000};
-
 /// How long jobs that have ended stay known; see the callers' interface.
 constexpr std::int64_t ended_job_life_ms = 150'000;
 
@@ -29,38 +18,6 @@
     return t.incarnation == s.state.incarnation();
 }
 
-/// What a running task has saved outlives its server only on record.
-void keep_checkpoint(owner& o, job& j, task& t, const std::string& checkpoint) {
-    if (checkpoint.empty() || checkpoint == t.checkpoint)
-        return;
-    t.checkpoint = checkpoint;
-    if (o.run.now() < j.checkpoints_stored_at + checkpoint_period)
-        return;
-    j.checkpoints_stored_at = o.run.now();
-    touch(j);
-}
-
-void take_running(owner& o, server& s, const AgentReport& report) {
-    s.running.assign(report.running().begin(), report.running().end());
-    for (const auto& r : s.running) {
-        const auto name = parse_task_name(r.name().task());
-        auto it = name ? o.jobs.find(name->job) : o.jobs.end();
-        auto* t = it == o.jobs.end() ? nullptr : find_task(it->second, *name);
-        if (!t || t->phase != task_phase::assigned ||
-            t->run != r.name().run() || t->agent != s.agent)
-            continue;
-        if (!t->seen_running || t->percent != r.percent())
-            t->progressed_at = o.run.now();
-        if (!t->seen_running)
-            o.run.journal.event("run_seen", {{"task", r.name().task()},
-                                             {"run", r.name().run()},
-                                             {"agent", s.agent}});
-        t->seen_running = true;
-        t->percent = r.percent();
-        keep_checkpoint(o, it->second, *t, r.checkpoint());
-    }
-}
-
 void take_gone(owner& o, server& s, const GoneRun& gone) {
     const auto name = parse_task_name(gone.name().task());
     auto it = name ? o.jobs.find(name->job) : o.jobs.end();
@@ -87,6 +44,7 @@
         s.noted_up_to = 0;
         s.unstored_ends.clear();
         s.running.clear();
+        s.lists_as_of_ms = 0;
         s.distrusted_until = {};
     }
     s.state = state;
@@ -110,23 +68,6 @@
     }
 }
 
-void check_progress(owner& o, job& j, task& t) {
-    if (t.phase != task_phase::assigned || t.stopping || t.resolved ||
-        !t.seen_running || t.percent >= 100 || step_of(j, t.name).lasting())
-        return;
-    const auto limit = step_of(j, t.name).gang() ? longest_gang_standstill
-                                                 : longest_standstill;
-    const auto now = o.run.now();
-    if (now < t.progressed_at + limit)
-        return;
-    auto& s = o.servers.at(t.agent);
-    if (now > s.heard_at + usable_silence)
-        return; // Nothing has been heard of it.
-    t.avoid_agent = t.agent;
-    s.distrusted_until = now + distrust_after_standstill;
-    stop_run(o, j, t, "it makes no progress");
-}
-
 void remove_old_jobs(owner& o) {
     const auto oldest = o.run.unix_ms() - ended_job_life_ms;
     store_transaction write;
@@ -241,10 +182,6 @@
         return;
     for (auto& [id, j] : o.jobs) {
         add_due_occurrences(j, o.run.unix_ms(), o.run.now());
-        for (auto& at : j.occurrences)
-            for (auto& s : at.steps)
-                for (auto& t : s.tasks)
-                    check_progress(o, j, t);
     }
     drop_silent_servers(o);
     if (o.is_valid())
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -36,6 +36,13 @@
 
 void update_state(owner& o, job& j);
 
+/// Takes over what a server lists as running, and leaves servers on which
+/// tasks stand still or are slow.
+void take_running(owner& o, server& s, const AgentReport& report);
+
+/// How long a task of a job is expected to run.
+duration usual_run(const owner& o, const job& j, int step);
+
 void schedule(owner& o);
 void write_changes(owner& o);
 void send_orders(owner& o);
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -36,11 +36,6 @@
     t.waiting_since = o.run.now();
 }
 
-void finish(owner& o, task& t, task_phase phase) {
-    release(o, t);
-    t.phase = phase;
-}
-
 /// Once no member of a gang's run can be at work, the gang waits again.
 void settle_gang(owner& o, step_run& s) {
     for (const auto& t : s.tasks)
@@ -97,22 +92,31 @@
 
 /// Declared times are off by up to nine tenths; what ran tells more.
 void learn_run(owner& o, const job& j, const task& t) {
+    if (!t.from_scratch || t.phase != task_phase::assigned)
+        return;
     const auto ran = o.run.now() - t.assigned_at;
-    auto [it, first] = o.usual_run.try_emplace(j.submission.queue(), ran);
-    if (!first)
-        it->second += (ran - it->second) / learning_steps;
+    auto& learned = o.learned_runs[j.submission.queue()];
+    ++learned.samples;
+    learned.usual +=
+        (ran - learned.usual) / std::min(learned.samples, learning_steps);
 }
 
-void end_done(owner& o, server& s, job& j, task& t) {
+void finish_as_done(owner& o, task& t, int run) {
+    release(o, t);
+    t.phase = task_phase::done;
+    t.done_run = run;
+}
+
+void end_done(owner& o, server& s, job& j, task& t, int run) {
     s.distrusted_until = {};
     learn_run(o, j, t);
     if (step_of(j, t.name).lasting())
         return wait_again(o, t);
     if (!step_of(j, t.name).gang())
-        return finish(o, t, task_phase::done);
+        return finish_as_done(o, t, run);
     // The members of a gang are done together.
     for (auto& member : step_run_of(j, t.name).tasks)
-        finish(o, member, task_phase::done);
+        finish_as_done(o, member, run);
 }
 
 void end_otherwise(owner& o, server& s, job& j, task& t, RunEnd how) {
@@ -150,6 +154,13 @@
     }
 }
 
+/// Whether an end tells that a task is done although its run was given up.
+/// The work needs no further run then, and one that has begun is stopped.
+bool is_late_success(const job& j, const task& t, const EndedTask& end) {
+    return end.how() == RUN_DONE && end.name().run() <= t.run &&
+           !is_over(j.state) && !is_over(t) && !step_of(j, t.name).lasting();
+}
+
 } // namespace
 
 void touch(job& j) {
@@ -187,7 +198,8 @@
                                       {"current", current}});
     o.run.metrics.count(
         fmt::format("runs_ended_total{{how=\"{}\"}}", name_of(end.how())));
-    if (!current) {
+    const bool counts = current || (t && is_late_success(it->second, *t, end));
+    if (!counts) {
         // It may tell what another member's end has told: that must be stored
         // too before this one is forgotten.
         const bool known = it != o.jobs.end();
@@ -198,7 +210,7 @@
     auto& j = it->second;
     assign_checkpoint(*t, end.checkpoint());
     if (end.how() == RUN_DONE)
-        end_done(o, s, j, *t);
+        end_done(o, s, j, *t, end.name().run());
     else
         end_otherwise(o, s, j, *t, end.how());
     touch(j);
--- /dev/null
+++ b/modules/fleet/src/owner_progress.cpp
@@ -0,0 +1,179 @@
+#include "owner_internal.hpp"
+
+#include <algorithm>
+
+namespace celerylift::fleet {
+
+namespace {
+
+/// How often the checkpoints of a job are written. A start that resumes loses
+/// this much at most; each write is one call for up to fifteen jobs.
+constexpr duration checkpoint_period{1500};
+
+/// Silence of a running task's progress after which it is taken for hung. A
+/// task of ten seconds shows progress every tenth of a second, and a server
+/// eight times slower every second; lists come about once a second. The
+/// members of a gang begin only once all are there.
+constexpr std::int64_t longest_standstill_ms = 1800;
+constexpr std::int64_t longest_gang_standstill_ms = 2800;
+constexpr duration distrust_after_standstill{8000};
+
+/// A server is slow if one task would take this many times the usual, or two
+/// tasks half as much; sizes of single jobs vary less.
+constexpr double slow_factor = 4.0;
+constexpr duration distrust_while_slow{3000};
+
+/// A task leaves a slow server if what is left would take this many times
+/// longer than a new start elsewhere.
+constexpr double worth_moving_factor = 1.5;
+constexpr int least_samples = 4;
+constexpr int least_percent_to_judge = 2;
+constexpr std::int64_t least_time_to_judge_ms = 700;
+
+/// What a running task has saved outlives its server only on record.
+void keep_checkpoint(owner& o, job& j, task& t, const std::string& checkpoint) {
+    if (checkpoint.empty() || checkpoint == t.checkpoint)
+        return;
+    t.checkpoint = checkpoint;
+    if (o.run.now() < j.checkpoints_stored_at + checkpoint_period)
+        return;
+    j.checkpoints_stored_at = o.run.now();
+    touch(j);
+}
+
+task* find_assigned(owner& o, const server& s, const RunName& run) {
+    const auto name = parse_task_name(run.task());
+    auto it = name ? o.jobs.find(name->job) : o.jobs.end();
+    auto* t = it == o.jobs.end() ? nullptr : find_task(it->second, *name);
+    const bool here = t && t->phase == task_phase::assigned &&
+                      t->run == run.run() && t->agent == s.agent;
+    return here ? t : nullptr;
+}
+
+void take_progress(owner& o, const server& s, task& t, int percent) {
+    if (!t.seen_running) {
+        o.run.journal.event(
+            "run_seen",
+            {{"task", to_string(t.name)}, {"run", t.run}, {"agent", s.agent}});
+        t.first_percent = percent;
+        t.first_seen_ms = s.lists_as_of_ms;
+    }
+    if (!t.seen_running || t.percent != percent)
+        t.progressed_ms = s.lists_as_of_ms;
+    t.seen_running = true;
+    t.percent = percent;
+}
+
+bool can_be_judged(const job& j, const task& t) {
+    return t.phase == task_phase::assigned && t.seen_running && !t.stopping &&
+           !t.resolved && !step_of(j, t.name).lasting();
+}
+
+void check_standstill(owner& o, server& s, job& j, task& t) {
+    const auto limit = step_of(j, t.name).gang() ? longest_gang_standstill_ms
+                                                 : longest_standstill_ms;
+    const auto still_for = s.lists_as_of_ms - t.progressed_ms;
+    if (t.percent >= 100 || still_for < limit)
+        return;
+    t.avoid_agent = t.agent;
+    s.distrusted_until = o.run.now() + distrust_after_standstill;
+    o.run.journal.event("run_stands_still", {{"task", to_string(t.name)},
+                                             {"run", t.run},
+                                             {"agent", s.agent},
+                                             {"percent", t.percent},
+                                             {"still_ms", still_for}});
+    stop_run(o, j, t, "it makes no progress");
+}
+
+/// How long a task would take here as a whole, in milliseconds; 0 where that
+/// can't be told yet.
+double whole_time(const server& s, const task& t) {
+    const auto ran = s.lists_as_of_ms - t.first_seen_ms;
+    const int done = t.percent - t.first_percent;
+    if (ran < least_time_to_judge_ms)
+        return 0;
+    if (done < least_percent_to_judge)
+        return static_cast<double>(ran) * 100 / least_percent_to_judge;
+    return static_cast<double>(ran) * 100 / done;
+}
+
+/// How many times longer than usual a task takes on this server; 0 where too
+/// little is known. Declared times are no measure.
+double slowness(const owner& o, const server& s, const job& j, const task& t) {
+    const auto it = o.learned_runs.find(j.submission.queue());
+    if (it == o.learned_runs.end() || it->second.samples < least_samples ||
+        it->second.usual.count() <= 0)
+        return 0;
+    return whole_time(s, t) / static_cast<double>(it->second.usual.count());
+}
+
+void leave_slow_server(owner& o, server& s, job& j, task& t) {
+    const auto left = whole_time(s, t) * (100 - t.percent) / 100;
+    const auto anew = static_cast<double>(usual_run(o, j, t.name.step).count());
+    if (t.moved || left < anew * worth_moving_factor)
+        return;
+    t.moved = true;
+    t.avoid_agent = t.agent;
+    o.run.journal.event("run_is_slow",
+                        {{"task", to_string(t.name)},
+                         {"run", t.run},
+                         {"agent", s.agent},
+                         {"percent", t.percent},
+                         {"left_ms", static_cast<std::int64_t>(left)},
+                         {"usual_ms", static_cast<std::int64_t>(anew)}});
+    stop_run(o, j, t, "its server is slow");
+}
+
+/// Tells a slow server from a large job by several tasks, or by one that is
+/// far off. Gangs are left out: they go at the pace of their slowest member.
+void check_speed(owner& o, server& s, const std::vector<task*>& tasks) {
+    double first = 0;
+    double second = 0;
+    for (const auto* t : tasks) {
+        const auto& j = o.jobs.at(t->name.job);
+        if (step_of(j, t->name).gang() || !can_be_judged(j, *t))
+            continue;
+        const auto times = slowness(o, s, j, *t);
+        second = std::max(second, std::min(first, times));
+        first = std::max(first, times);
+    }
+    if (first < slow_factor && second < slow_factor / 2)
+        return;
+    if (o.run.now() >= s.distrusted_until)
+        o.run.journal.event(
+            "server_is_slow",
+            {{"agent", s.agent},
+             {"times_percent", static_cast<std::int64_t>(first * 100)}});
+    s.distrusted_until =
+        std::max(s.distrusted_until, o.run.now() + distrust_while_slow);
+    for (auto* t : tasks) {
+        auto& j = o.jobs.at(t->name.job);
+        if (can_be_judged(j, *t))
+            leave_slow_server(o, s, j, *t);
+    }
+}
+
+} // namespace
+
+void take_running(owner& o, server& s, const AgentReport& report) {
+    s.running.assign(report.running().begin(), report.running().end());
+    const bool news = report.lists_as_of_ms() > s.lists_as_of_ms;
+    s.lists_as_of_ms = report.lists_as_of_ms();
+    std::vector<task*> tasks;
+    for (const auto& r : s.running) {
+        auto* t = find_assigned(o, s, r.name());
+        if (!t)
+            continue;
+        take_progress(o, s, *t, r.percent());
+        keep_checkpoint(o, o.jobs.at(t->name.job), *t, r.checkpoint());
+        tasks.push_back(t);
+    }
+    if (!news)
+        return;
+    for (auto* t : tasks)
+        if (auto& j = o.jobs.at(t->name.job); can_be_judged(j, *t))
+            check_standstill(o, s, j, *t);
+    check_speed(o, s, tasks);
+}
+
+} // namespace celerylift::fleet
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -67,7 +67,7 @@
     t.agent = s.agent;
     t.incarnation = s.state.incarnation();
     t.assigned_at = o.run.now();
-    t.progressed_at = t.assigned_at;
+    t.from_scratch = t.checkpoint.empty();
     t.resolved = false;
     t.stopping = false;
     t.seen_running = false;
@@ -157,14 +157,6 @@
         request.avoid.clear();
 }
 
-/// How long a task of a job is expected to run.
-duration usual_run(const owner& o, const job& j, int step) {
-    const auto it = o.usual_run.find(j.submission.queue());
-    return it != o.usual_run.end()
-               ? it->second
-               : duration{j.submission.steps(step).estimate_ms()};
-}
-
 /// The rack with the most free accelerators.
 std::string emptiest_rack(const std::vector<room>& rooms) {
     std::map<std::string, std::int64_t> free;
@@ -248,6 +240,13 @@
 
 } // namespace
 
+duration usual_run(const owner& o, const job& j, int step) {
+    const auto it = o.learned_runs.find(j.submission.queue());
+    return it != o.learned_runs.end()
+               ? it->second.usual
+               : duration{j.submission.steps(step).estimate_ms()};
+}
+
 std::vector<room> usable_rooms(const owner& o) {
     std::vector<room> rooms;
     const auto now = o.run.now();
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -172,8 +172,10 @@
         const bool wanted = t && t->phase == task_phase::assigned &&
                             t->agent == s.agent &&
                             t->run == running.name().run() && !t->resolved;
-        const bool done_with_gang = t && t->phase == task_phase::done;
-        if (!wanted && !done_with_gang)
+        // The members of a gang end one after the other.
+        const bool ends_now = t && t->phase == task_phase::done &&
+                              t->done_run == running.name().run();
+        if (!wanted && !ends_now)
             add_stop(running.name().task(), running.name().run(), orders);
     }
 }
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -418,6 +418,52 @@
                                   duration{6000}));
 }
 
+// A server became six times slower; what it ran was late although other
+// servers stood idle.
+TEST(a_backend_server, that_is_slow_is_left_once_by_what_it_runs) {
+    virtual_fleet f;
+    for (int n = 1; n <= 6; ++n)
+        f.hand_in(job_of(id_of(n), "ms=2000", 1, small));
+    for (int n = 1; n <= 6; ++n)
+        f.wait_for(id_of(n), fleet::JOB_COMPLETED);
+    for (int n = 1; n <= 3; ++n)
+        f.server(n).duration_percent = 600;
+    const auto before = f.world.now;
+    for (int n = 11; n <= 16; ++n)
+        f.hand_in(job_of(id_of(n), "ms=2000", 1, small));
+    for (int n = 11; n <= 16; ++n)
+        EXPECT_TRUE(f.wait_for(id_of(n), fleet::JOB_COMPLETED)) << n;
+    EXPECT_LT(f.world.now - before, duration{8000});
+    expect_kept(f);
+}
+
+// Declared times are off by up to nine tenths: a long job is not a slow server.
+TEST(a_backend_server, is_not_left_by_a_job_that_was_declared_too_short) {
+    virtual_fleet f;
+    auto job = job_of(id_of(1), "ms=8000", 3, small);
+    job.mutable_steps(0)->set_estimate_ms(800);
+    f.hand_in(job);
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED));
+    EXPECT_EQ(f.history.starts, 3);
+}
+
+// A new owner took the rest of an adopted run for a whole one, and every
+// server for slow.
+TEST(a_backend_server, is_not_measured_by_runs_that_were_adopted) {
+    virtual_fleet f;
+    for (int n = 1; n <= 6; ++n)
+        f.hand_in(job_of(id_of(n), "ms=3000", 1, small), 3);
+    f.world.run_for(duration{2500});
+    f.kill_entry(f.owner_entry());
+    f.world.run_for(duration{2500});
+    for (int n = 11; n <= 16; ++n)
+        f.hand_in(job_of(id_of(n), "ms=3000", 1, small), 3);
+    for (int n = 11; n <= 16; ++n)
+        EXPECT_TRUE(
+            f.wait_for(id_of(n), fleet::JOB_COMPLETED, duration{30'000}, 3));
+    EXPECT_EQ(f.history.starts, 12);
+}
+
 // ---- When the network is cut ----
 
 TEST(an_agent, that_hears_no_owner_lets_its_runs_lapse_before_others_start) {
@@ -433,6 +479,28 @@
     expect_kept(f);
 }
 
+// An agent came back with the end of a run that had been given up; the end was
+// acknowledged and forgotten, and the task was run once more.
+TEST(an_agent, that_returns_with_work_done_spares_another_run) {
+    virtual_fleet f;
+    f.hand_in(job_of(id_of(1), "ms=2000", 1, whole_server));
+    f.world.run_until([&] { return f.history.starts == 1; }, duration{1000});
+    int cut = 0;
+    for (int n = 1; n <= 6; ++n)
+        if (f.server(n).running_count() > 0)
+            cut = n;
+    for (int entry = 1; entry <= 3; ++entry)
+        f.set_link(entry, cut, false);
+    ASSERT_TRUE(f.world.run_until([&] { return f.history.starts == 2; },
+                                  duration{10'000}));
+    for (int entry = 1; entry <= 3; ++entry)
+        f.set_link(entry, cut, true);
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{1000}));
+    EXPECT_TRUE(f.world.run_until([&] { return f.history.at_work.empty(); },
+                                  duration{1000}));
+    expect_kept(f);
+}
+
 TEST(an_agent, that_is_cut_for_a_moment_keeps_its_work) {
     virtual_fleet f;
     f.hand_in(job_of(id_of(1), "ms=6000", 1, whole_server));
--- a/tests/fleet/virtual_server.hpp
+++ b/tests/fleet/virtual_server.hpp
@@ -27,6 +27,8 @@
         int run = 0;
         time_point at{};
         bool noted = false;
+        bool lapsed = false; // Its server's lease, before it was noted.
+        std::string server;
     };
     std::map<std::string, std::string> at_work; // Task to server.
     std::map<std::string, std::vector<done_run>> done;
