Run the fleet as real processes on loopback, through the platform's adapter

Cause 1: a stopped owner took the cell over again with its old epoch while it served out its last callers, and kept agents' reports to itself. Change: stopping forgets the epoch that was won. Test: an_owner.that_has_stopped_does_not_take_over_again failed before.

Cause 2: a job whose steps were a number was accepted as a job of one step. Test: a_job.that_is_unreadable_is_refused_with_a_reason failed before.

--- a/modules/fleet/include/celerylift/fleet/config.hpp
+++ b/modules/fleet/include/celerylift/fleet/config.hpp
@@ -44,8 +44,8 @@
 };
 
 struct limits_config {
-    std::size_t most_header_bytes = 16 * 1024;
-    std::size_t most_body_bytes = 256 * 1024;
+    std::size_t most_header_bytes = 16UL * 1024;
+    std::size_t most_body_bytes = 256UL * 1024;
     duration idle{15'000};
 
     bool operator==(const limits_config&) const = default;
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -65,6 +65,7 @@
 void entry_node::stop() {
     stopping_ = true;
     leadership_.stop([] {});
+    gained_epoch_ = 0;
     deactivate(owner_);
 }
 
--- a/modules/net/include/celerylift/net/http_front.hpp
+++ b/modules/net/include/celerylift/net/http_front.hpp
@@ -10,8 +10,8 @@
 
 /// What a front allows its callers.
 struct front_limits {
-    std::size_t most_header_bytes = 16 * 1024;
-    std::size_t most_body_bytes = 256 * 1024;
+    std::size_t most_header_bytes = 16UL * 1024;
+    std::size_t most_body_bytes = 256UL * 1024;
     /// Idle connections are closed after this time.
     duration idle{15'000};
     unsigned most_connections = 2000;
--- /dev/null
+++ b/tests/fleet/adapter_test.cpp
@@ -0,0 +1,123 @@
+// What the platform's messages are taken for, and that unreadable ones name
+// what is wrong.
+#include <celerylift/adapter/platform.hpp>
+
+#include <gtest/gtest.h>
+
+namespace celerylift::test {
+
+TEST(a_configuration, is_read_into_queues_and_organisations) {
+    const auto decoded = adapter::decode_config(R"({"version":7,
+        "routes":[{"name":"r-1","host":"h","prefix":"/p/","priority":2,
+                   "service":"s","max_attempts":3,"stretch":1.5,
+                   "target_duration_ms":250,"public":true}],
+        "services":[{"name":"s","enforces_capacity":true}],
+        "limits":{"max_body_bytes":1000},
+        "tenants":[{"name":"t","api_keys":["a","b"],"guaranteed":{"gpu":16}}],
+        "unknown":[1,2]})");
+    const auto& config = std::get<fleet::fleet_config>(decoded);
+    EXPECT_EQ(config.version, 7);
+    ASSERT_EQ(config.queues.size(), 1U);
+    EXPECT_EQ(config.queues[0],
+              (fleet::queue_config{"r-1", "h", "/p/", "s", 2, 3, 1.5,
+                                   duration{250}, true, false}));
+    EXPECT_EQ(config.organisations[0].guaranteed_accelerators, 16);
+    EXPECT_EQ(config.limits.most_body_bytes, 1000U);
+    EXPECT_TRUE(config.services[0].enforces_capacity);
+}
+
+TEST(a_configuration, that_is_unreadable_is_refused_with_a_reason) {
+    for (const auto* text : {"", "{", "[]", R"({"version":"x","routes":[]})",
+                             R"({"version":1})"}) {
+        const auto decoded = adapter::decode_config(text);
+        ASSERT_NE(error_of(decoded), nullptr) << text;
+        EXPECT_NE(error_of(decoded)->message.find("can't be read"),
+                  std::string::npos);
+    }
+}
+
+TEST(a_queue, is_found_by_the_longest_prefix_of_its_host) {
+    fleet::fleet_config config;
+    const auto add = [&](const char* name, const char* host,
+                         const char* prefix) {
+        fleet::queue_config queue;
+        queue.name = name;
+        queue.host = host;
+        queue.path_prefix = prefix;
+        config.queues.push_back(queue);
+    };
+    add("short", "h", "/a/");
+    add("long", "h", "/a/b/");
+    add("other", "i", "/a/b/c/");
+    EXPECT_EQ(fleet::find_queue(config, "h", "/a/b/c/1")->name, "long");
+    EXPECT_EQ(fleet::find_queue(config, "h", "/a/1")->name, "short");
+    EXPECT_EQ(fleet::find_queue(config, "h", "/b/1"), nullptr);
+    EXPECT_EQ(fleet::find_queue(config, "j", "/a/1"), nullptr);
+}
+
+TEST(a_heartbeat, is_read_with_its_rack_and_life) {
+    const auto decoded = adapter::decode_heartbeat("i-1", R"({"service":"s",
+        "address":"10.0.0.1:80","state":"draining","seq":9,"born":77,
+        "labels":["a","r1-3"],
+        "capacity":{"cpu":16000,"mem_mb":32768,"gpu":8}})");
+    const auto& h = std::get<fleet::server_heartbeat>(decoded);
+    EXPECT_EQ(h.rack, "r1-3");
+    EXPECT_EQ(h.born_unix_ms, 77);
+    EXPECT_TRUE(h.draining);
+    EXPECT_EQ(h.capacity, (fleet::resources{16'000, 32'768, 8}));
+}
+
+TEST(a_heartbeat, of_another_writer_names_no_server) {
+    for (const auto* text :
+         {"", "\xff\xfe", "7", R"({"service":"s"})",
+          R"({"service":"s","address":"a","state":"odd","seq":9,
+              "labels":[],"capacity":{"cpu":1,"mem_mb":1}})",
+          R"({"service":5,"address":"a","state":"ready","seq":9,
+              "labels":[],"capacity":{"cpu":1,"mem_mb":1}})"})
+        EXPECT_NE(error_of(adapter::decode_heartbeat("i-1", text)), nullptr)
+            << text;
+}
+
+TEST(a_job, is_read_with_all_that_its_steps_ask_for) {
+    const auto decoded =
+        adapter::decode_submission("5c0e7a21d94b36f8", R"({"spec":"text",
+        "steps":[{"count":4,"cpu":500,"mem_mb":256,"gpu":2,
+                  "est_duration_ms":900,"affinity":"r1-3","gang":true,
+                  "same_rack":true},
+                 {"count":2,"after":[0],"checkpointable":true,
+                  "anti_affinity":1,"required_label":"b"}],
+        "repeat_count":3,"start_at_ms":5000,"interval_ms":100})");
+    const auto& job = std::get<fleet::Submission>(decoded);
+    EXPECT_EQ(job.steps(0).each().accelerators(), 2);
+    EXPECT_TRUE(job.steps(0).gang() && job.steps(0).same_rack());
+    EXPECT_EQ(job.steps(0).affinity_rack(), "r1-3");
+    EXPECT_EQ(job.steps(1).after(0), 0);
+    EXPECT_EQ(job.steps(1).anti_affinity(), 1);
+    EXPECT_EQ(job.occurrences(), 3);
+    EXPECT_EQ(fleet::find_fault(job), "");
+}
+
+TEST(a_job, that_is_unreadable_is_refused_with_a_reason) {
+    const auto id = "5c0e7a21d94b36f8";
+    for (const auto* text :
+         {"", "[]", R"({"spec":"x"})", R"({"spec":"x","steps":5})",
+          R"({"spec":"x","steps":[{"count":"two"}]})"})
+        EXPECT_NE(error_of(adapter::decode_submission(id, text)), nullptr)
+            << text;
+    EXPECT_NE(error_of(adapter::decode_submission("short", "{}")), nullptr);
+}
+
+TEST(a_call_of_a_backend_server, is_told_by_method_and_path) {
+    using kind = adapter::server_call::kind;
+    net::served_request request;
+    request.method = "PUT";
+    request.path = "/api/instances/i-7";
+    EXPECT_EQ(adapter::decode_server_call(request).what, kind::heartbeat);
+    EXPECT_EQ(adapter::decode_server_call(request).id, "i-7");
+    request.method = "DELETE";
+    EXPECT_EQ(adapter::decode_server_call(request).what, kind::departure);
+    request.path = "/elsewhere";
+    EXPECT_EQ(adapter::decode_server_call(request).what, kind::other);
+}
+
+} // namespace celerylift::test
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -216,6 +216,19 @@
     EXPECT_LE(f.world.now - before, duration{300});
 }
 
+// While it served out its last callers, a stopped owner took the cell over
+// again with its old epoch, and kept agents' reports to itself.
+TEST(an_owner, that_has_stopped_does_not_take_over_again) {
+    virtual_fleet f;
+    const int old = f.owner_entry();
+    f.entry(old).stop();
+    for (int n = 0; n < 20; ++n) {
+        f.hand_in(job_of(id_of(n), "ms=50", 1, small), old);
+        f.world.run_for(duration{100});
+        EXPECT_FALSE(f.entry(old).is_owner());
+    }
+}
+
 TEST(an_owner, that_is_cut_from_the_store_is_followed_without_a_double_run) {
     virtual_fleet f;
     const int old = f.owner_entry();
--- /dev/null
+++ b/tests/fleet/standin_http.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "virtual_server.hpp"
+#include "virtual_store.hpp"
+
+#include <celerylift/net/http_client.hpp>
+#include <celerylift/net/http_front.hpp>
+
+namespace celerylift::test {
+
+/// Serves the store's published interface from a stand-in.
+void serve_store(fleet::store& from, const net::served_request& request,
+                 const net::responder& respond);
+
+/// Serves a backend server's published interface from a stand-in.
+void serve_server(virtual_server& server, fleet::backend_server& calls,
+                  const net::served_request& request,
+                  const net::responder& respond);
+
+/// Reports a backend server to its agent, as the published interface says.
+void send_heartbeat(virtual_server& server, net::http_client& client,
+                    const base::address& agent);
+
+} // namespace celerylift::test
--- /dev/null
+++ b/tests/fleet/standin_main.cpp
@@ -0,0 +1,135 @@
+// The platform's store and backend servers, as one process on loopback that
+// speaks their published interfaces.
+#include "standin_http.hpp"
+
+#include <celerylift/net/control_loop.hpp>
+
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <map>
+
+namespace celerylift::test {
+
+namespace {
+
+constexpr const char* usage =
+    R"(celerylift-platform-standin: a store and backend servers on loopback.
+
+Usage:
+  celerylift-platform-standin --store=PORT --servers=N --server-port=PORT --agent-port=PORT
+  celerylift-platform-standin --help
+
+Options:
+  --store=PORT        Where the store listens on 127.0.0.1.
+  --servers=N         How many backend servers, three a rack.
+  --server-port=PORT  Server n listens on this port plus n.
+  --agent-port=PORT   Server n sends heartbeats to this port plus n.
+)";
+
+constexpr duration tick{5};
+constexpr duration heartbeat_period{500};
+constexpr int servers_in_rack = 3;
+
+struct server_process {
+    std::unique_ptr<virtual_server> server;
+    std::unique_ptr<fleet::backend_server> calls;
+    std::unique_ptr<net::http_front> front;
+    base::address agent;
+};
+
+/// Runs the stand-ins' virtual time along with the real one.
+class platform {
+public:
+    explicit platform(const std::map<std::string, docopt::value>& arguments)
+        : client_(loop_), store_calls_(store_.client("any", life_)) {
+        const auto port = [&](const char* name, int n) {
+            return static_cast<std::uint16_t>(arguments.at(name).asLong() + n);
+        };
+        store_front_ = std::make_unique<net::http_front>(
+            loop_, base::address{"127.0.0.1", port("--store", 0)},
+            net::front_limits{},
+            [this](const net::served_request& request,
+                   const net::responder& respond) {
+                serve_store(*store_calls_, request, respond);
+            });
+        const auto count = static_cast<int>(arguments.at("--servers").asLong());
+        for (int n = 1; n <= count; ++n)
+            add_server(n, port("--server-port", n), port("--agent-port", n));
+    }
+
+    int run() {
+        began_ = net::monotonic_now();
+        loop_.every(tick, [this] { advance(); });
+        loop_.on_termination([this] { loop_.end(); });
+        loop_.run();
+        store_front_.reset();
+        servers_.clear();
+        return 0;
+    }
+
+private:
+    void add_server(int n, std::uint16_t port, std::uint16_t agent_port) {
+        auto& s = servers_[n];
+        s.server = std::make_unique<virtual_server>(
+            world_, history_, fmt::format("server-{}", n),
+            fmt::format("rack-{}", (n - 1) / servers_in_rack));
+        s.calls = s.server->client(life_);
+        s.agent = {"127.0.0.1", agent_port};
+        s.front = std::make_unique<net::http_front>(
+            loop_, base::address{"127.0.0.1", port}, net::front_limits{},
+            [&s](const net::served_request& request,
+                 const net::responder& respond) {
+                serve_server(*s.server, *s.calls, request, respond);
+            });
+    }
+
+    void advance() {
+        const auto elapsed = net::monotonic_now() - began_;
+        if (elapsed > shown_) {
+            world_.run_for(elapsed - shown_);
+            shown_ = elapsed;
+        }
+        if (elapsed < next_heartbeat_)
+            return;
+        next_heartbeat_ = elapsed + heartbeat_period;
+        for (auto& [n, s] : servers_)
+            send_heartbeat(*s.server, client_, s.agent);
+        for (; told_ < history_.broken.size(); ++told_)
+            fmt::print(stderr, "broken: {}\n", history_.broken[told_]);
+    }
+
+    net::control_loop loop_;
+    net::http_client client_;
+    std::shared_ptr<int> life_ = std::make_shared<int>(0);
+    virtual_world world_;
+    virtual_store store_{world_};
+    run_history history_;
+    std::unique_ptr<fleet::store> store_calls_;
+    std::unique_ptr<net::http_front> store_front_;
+    std::map<int, server_process> servers_;
+    time_point began_{};
+    duration shown_{0};
+    duration next_heartbeat_{0};
+    std::size_t told_ = 0;
+};
+
+} // namespace
+
+} // namespace celerylift::test
+
+int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        celerylift::test::platform standin(docopt::docopt_parse(
+            celerylift::test::usage, {argv + 1, argv + argc}, true, false));
+        return standin.run();
+    } catch (const docopt::DocoptExitHelp&) {
+        fmt::print("{}", celerylift::test::usage);
+        return 0;
+    } catch (const std::exception& e) {
+        fmt::print(stderr, "celerylift-platform-standin: {}\n", e.what());
+        return 2;
+    }
+}
