Never let the HTTP client send a write twice by itself

The client library sends a request again by itself when a connection that it has used before ends without an answer. The first one had been done, the second met a 503, and the caller was told that the job would never run.

Ruled out: a refusal after an unknown outcome within one call (answered as unknown), an entry that goes on trying after its answer (one call at a time).

Change: the body can't be read twice, so such a call fails with its outcome unknown. Test: an_http_client.never_sends_a_request_twice_by_itself failed before (result answered, 503; 3 requests) and passes now (lost; 2 requests).

--- a/modules/net/include/celerylift/net/control_loop.hpp
+++ b/modules/net/include/celerylift/net/control_loop.hpp
@@ -51,6 +51,9 @@
     void run();
     void end();
 
+    /// Lets run() be called again after end().
+    void restart();
+
     int handle_exception(ACE_HANDLE handle) override;
     int handle_timeout(const ACE_Time_Value& now, const void* arg) override;
     int handle_signal(int signal, siginfo_t* info,
--- a/modules/net/src/control_loop.cpp
+++ b/modules/net/src/control_loop.cpp
@@ -129,6 +129,10 @@
     reactor_.run_reactor_event_loop();
 }
 
+void control_loop::restart() {
+    reactor_.reset_reactor_event_loop();
+}
+
 void control_loop::end() {
     reactor_.end_reactor_event_loop();
 }
--- a/modules/net/src/http_client.cpp
+++ b/modules/net/src/http_client.cpp
@@ -4,6 +4,7 @@
 #include <ace/Reactor.h>
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <vector>
 
@@ -28,10 +29,27 @@
     http_client::completion done;
     client_response response;
     curl_slist* headers = nullptr;
+    std::size_t sent = 0; // Of the body.
 
     ~transfer() { curl_slist_free_all(headers); }
 };
 
+std::size_t read_body(char* out, std::size_t size, std::size_t count,
+                      void* call) {
+    auto& t = *static_cast<transfer*>(call);
+    const auto bytes = std::min(size * count, t.request.body.size() - t.sent);
+    t.request.body.copy(out, bytes, t.sent);
+    t.sent += bytes;
+    return bytes;
+}
+
+/// Curl would send a request again by itself when a connection that it has
+/// used before ends without an answer. The first one may have been carried
+/// out, so the call has to fail with its outcome unknown.
+int refuse_to_send_again(void*, curl_off_t, int) {
+    return CURL_SEEKFUNC_FAIL;
+}
+
 } // namespace
 
 /// Connects curl's multi interface to the reactor: one handler serves all of
@@ -151,9 +169,12 @@
     if (request.fresh_connection)
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     if (request.method != "GET" && request.method != "DELETE") {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->request.body.data());
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
                          static_cast<long>(call->request.body.size()));
+        curl_easy_setopt(easy, CURLOPT_READFUNCTION, read_body);
+        curl_easy_setopt(easy, CURLOPT_READDATA, call.get());
+        curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, refuse_to_send_again);
     }
     transfers_.emplace(easy, std::move(call));
     curl_multi_add_handle(handle_, easy);
--- /dev/null
+++ b/tests/fleet/http_client_test.cpp
@@ -0,0 +1,112 @@
+// The HTTP client against a server that ends connections without an answer.
+#include <celerylift/net/http_client.hpp>
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <thread>
+
+namespace celerylift::test {
+
+namespace {
+
+/// Answers the first request, ends the connection on the second one without
+/// an answer, and refuses any other.
+class closing_server {
+public:
+    closing_server() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(listener_, reinterpret_cast<sockaddr*>(&at), sizeof at);
+        listen(listener_, 4);
+        socklen_t size = sizeof at;
+        getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
+        port_ = ntohs(at.sin_port);
+        thread_ = std::thread([this] { serve(); });
+    }
+    ~closing_server() {
+        shutdown(listener_, SHUT_RDWR);
+        thread_.join();
+        close(listener_);
+    }
+
+    base::address at() const { return {"127.0.0.1", port_}; }
+    int requests() const { return requests_; }
+
+private:
+    void serve() {
+        for (int connection = accept(listener_, nullptr, nullptr);
+             connection >= 0;
+             connection = accept(listener_, nullptr, nullptr)) {
+            while (take_request(connection) && answer(connection)) {
+            }
+            close(connection);
+        }
+    }
+
+    /// Reads until the end of a body "{}".
+    static bool take_request(int connection) {
+        std::string text;
+        char buffer[1024];
+        while (!text.ends_with("{}")) {
+            const auto size = recv(connection, buffer, sizeof buffer, 0);
+            if (size <= 0)
+                return false;
+            text.append(buffer, static_cast<std::size_t>(size));
+        }
+        return true;
+    }
+
+    bool answer(int connection) {
+        const int number = ++requests_;
+        if (number == 2)
+            return false;
+        const std::string text =
+            number == 1 ? "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+                        : "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\n{}";
+        return send(connection, text.data(), text.size(), MSG_NOSIGNAL) > 0;
+    }
+
+    int listener_;
+    std::uint16_t port_ = 0;
+    std::atomic<int> requests_ = 0;
+    std::thread thread_;
+};
+
+net::client_response call(net::control_loop& loop, net::http_client& client,
+                          const base::address& at) {
+    net::client_response result;
+    net::client_request request;
+    request.method = "POST";
+    request.to = at;
+    request.path = "/api/kv-txn";
+    request.body = "{}";
+    client.call(request, [&](const net::client_response& response) {
+        result = response;
+        loop.end();
+    });
+    loop.run();
+    loop.restart();
+    return result;
+}
+
+} // namespace
+
+// A write that the store had done was sent again behind our back, met a
+// refusal, and its caller was told that the job would never run.
+TEST(an_http_client, never_sends_a_request_twice_by_itself) {
+    closing_server server;
+    net::control_loop loop;
+    net::http_client client(loop);
+    EXPECT_EQ(call(loop, client, server.at()).status, 200);
+    const auto second = call(loop, client, server.at());
+    EXPECT_EQ(second.result, net::call_result::lost);
+    EXPECT_EQ(server.requests(), 2);
+}
+
+} // namespace celerylift::test
