--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -97,6 +97,7 @@
 bool is_completed(const job& j);
 
 task* find_task(job& j, const task_name& name);
+const task* find_task(const job& j, const task_name& name);
 
 /// What one task takes from a backend server's capacity.
 resources need_of(const Step& step);
--- a/modules/fleet/src/jobs.cpp
+++ b/modules/fleet/src/jobs.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace celerylift::fleet {
 
@@ -51,12 +52,6 @@
     return o;
 }
 
-occurrence* find_occurrence(job& j, int number) {
-    const auto it =
-        std::ranges::find(j.occurrences, number, &occurrence::number);
-    return it == j.occurrences.end() ? nullptr : &*it;
-}
-
 bool is_recurring(const Submission& s) {
     return s.occurrences() > 0;
 }
@@ -173,16 +168,22 @@
     });
 }
 
-task* find_task(job& j, const task_name& name) {
-    auto* o = find_occurrence(j, name.occurrence);
-    if (!o || name.step < 0 || name.step >= static_cast<int>(o->steps.size()))
+const task* find_task(const job& j, const task_name& name) {
+    const auto o =
+        std::ranges::find(j.occurrences, name.occurrence, &occurrence::number);
+    if (o == j.occurrences.end() || name.step < 0 ||
+        name.step >= static_cast<int>(o->steps.size()))
         return nullptr;
-    auto& tasks = o->steps[static_cast<std::size_t>(name.step)].tasks;
+    const auto& tasks = o->steps[static_cast<std::size_t>(name.step)].tasks;
     if (name.index < 0 || name.index >= static_cast<int>(tasks.size()))
         return nullptr;
     return &tasks[static_cast<std::size_t>(name.index)];
 }
 
+task* find_task(job& j, const task_name& name) {
+    return const_cast<task*>(find_task(std::as_const(j), name));
+}
+
 resources need_of(const Step& step) {
     auto need = from_record(step.each());
     // A filling step runs on what others leave unused.
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -50,7 +50,9 @@
 
 const queue_config* queue_of(const owner& o, const job& j);
 int priority_of(const owner& o, const job& j);
+/// The step that a task of the job belongs to.
 step_run& step_run_of(job& j, const task_name& name);
+const step_run& step_run_of(const job& j, const task_name& name);
 
 /// Servers that can be given work, with what is free on them.
 std::vector<room> usable_rooms(const owner& o);
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -1,6 +1,9 @@
 #include "owner_internal.hpp"
 
+#include <algorithm>
+#include <cassert>
 #include <fmt/format.h>
+#include <utility>
 
 namespace celerylift::fleet {
 
@@ -176,11 +179,15 @@
     return queue ? queue->priority : 0;
 }
 
+const step_run& step_run_of(const job& j, const task_name& name) {
+    const auto at =
+        std::ranges::find(j.occurrences, name.occurrence, &occurrence::number);
+    assert(at != j.occurrences.end());
+    return at->steps[static_cast<std::size_t>(name.step)];
+}
+
 step_run& step_run_of(job& j, const task_name& name) {
-    for (auto& at : j.occurrences)
-        if (at.number == name.occurrence)
-            return at.steps[static_cast<std::size_t>(name.step)];
-    return j.occurrences.front().steps[static_cast<std::size_t>(name.step)];
+    return const_cast<step_run&>(step_run_of(std::as_const(j), name));
 }
 
 void apply_end(owner& o, server& s, const EndedTask& end) {
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -44,7 +44,7 @@
     if (!step_of(j, t.name).gang())
         return unsaved_work(o, j, t);
     double cost = 0;
-    for (const auto& member : step_run_of(const_cast<job&>(j), t.name).tasks)
+    for (const auto& member : step_run_of(j, t.name).tasks)
         if (member.phase == task_phase::assigned)
             cost += unsaved_work(o, j, member);
     return cost;
@@ -56,7 +56,7 @@
     std::vector<victim> victims;
     for (const auto& name : o.servers.at(agent).assigned) {
         const auto& j = o.jobs.at(name.job);
-        const auto* t = find_task(const_cast<job&>(j), name);
+        const auto* t = find_task(j, name);
         if (!t || t->resolved || t->stopping || priority_of(o, j) <= priority)
             continue;
         victims.push_back(
@@ -71,7 +71,7 @@
     resources sum;
     for (const auto& name : o.servers.at(agent).assigned) {
         const auto& j = o.jobs.at(name.job);
-        const auto* t = find_task(const_cast<job&>(j), name);
+        const auto* t = find_task(j, name);
         if (t && t->stopping && !t->resolved)
             sum += need_of(step_of(j, name));
     }
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -13,8 +13,8 @@
 constexpr duration shortest_settling_time{50};
 constexpr duration longest_settling_time{800};
 
-/// A gang waits for a whole rack, and a task for the rack of its data, for as
-/// long as it would run: spread out it would take several times as long.
+/// A gang waits for a whole rack about as long as it would run: spread out it
+/// would take several times as long.
 constexpr duration longest_rack_wait{12'000};
 
 /// Patient work leaves the emptiest rack free for this share of the time that
@@ -33,29 +33,29 @@
     auto operator<=>(const waiting_unit&) const = default;
 };
 
-std::vector<waiting_unit> waiting_units(owner& o) {
+/// Whether a step has tasks that can be placed now; a gang only as a whole.
+bool can_be_placed(const job& j, const occurrence& at, int step) {
+    const auto& tasks = at.steps[static_cast<std::size_t>(step)].tasks;
+    const auto waits = [](const task& t) {
+        return t.phase == task_phase::waiting;
+    };
+    const bool some = j.submission.steps(step).gang()
+                          ? std::ranges::all_of(tasks, waits)
+                          : std::ranges::any_of(tasks, waits);
+    return some && is_ready(j, at, step);
+}
+
+std::vector<waiting_unit> waiting_units(const owner& o) {
     std::vector<waiting_unit> units;
-    for (auto& [id, j] : o.jobs) {
+    for (const auto& [id, j] : o.jobs) {
         if (is_over(j.state) || j.cancelled || !queue_of(o, j))
             continue;
         for (std::size_t at = 0; at < j.occurrences.size(); ++at)
-            for (int s = 0; s < j.submission.steps_size(); ++s) {
-                const auto& tasks =
-                    j.occurrences[at].steps[static_cast<std::size_t>(s)].tasks;
-                const bool waits =
-                    std::ranges::any_of(tasks, [](const task& t) {
-                        return t.phase == task_phase::waiting;
-                    });
-                const bool whole =
-                    !j.submission.steps(s).gang() ||
-                    std::ranges::all_of(tasks, [](const task& t) {
-                        return t.phase == task_phase::waiting;
-                    });
-                if (waits && whole && is_ready(j, j.occurrences[at], s))
+            for (int s = 0; s < j.submission.steps_size(); ++s)
+                if (can_be_placed(j, j.occurrences[at], s))
                     units.push_back({priority_of(o, j),
                                      j.submission.submitted_unix_ms(), id, at,
                                      s});
-            }
     }
     std::ranges::sort(units);
     return units;
@@ -266,7 +266,7 @@
         std::set<task_name> counted;
         for (const auto& name : s.assigned) {
             const auto& j = o.jobs.at(name.job);
-            auto* t = find_task(const_cast<job&>(j), name);
+            const auto* t = find_task(j, name);
             if (!t || t->resolved)
                 continue;
             counted.insert(name);
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -169,9 +169,8 @@
     for (const auto& running : s.running) {
         const auto name = parse_task_name(running.name().task());
         const auto it = name ? o.jobs.find(name->job) : o.jobs.end();
-        const auto* t = it == o.jobs.end()
-                            ? nullptr
-                            : find_task(const_cast<job&>(it->second), *name);
+        const auto* t =
+            it == o.jobs.end() ? nullptr : find_task(it->second, *name);
         const bool wanted = t && t->phase == task_phase::assigned &&
                             t->agent == s.agent &&
                             t->run == running.name().run() && !t->resolved;
