--- a/tests/fleet/http_client_test.cpp
+++ b/tests/fleet/http_client_test.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <stdexcept>
 #include <thread>
 
 namespace celerylift::test {
@@ -22,8 +23,9 @@
         sockaddr_in at{};
         at.sin_family = AF_INET;
         at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener_, reinterpret_cast<sockaddr*>(&at), sizeof at);
-        listen(listener_, 4);
+        if (bind(listener_, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 ||
+            listen(listener_, 4) != 0)
+            throw std::runtime_error("can't listen on loopback");
         socklen_t size = sizeof at;
         getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
         port_ = ntohs(at.sin_port);
