--- a/tests/fleet/virtual_store.cpp
+++ b/tests/fleet/virtual_store.cpp
@@ -113,7 +113,8 @@
     }
 
     void poll(const std::string& prefix, std::int64_t after, time_point until,
-              time_point give_up, fleet::when_done<fleet::watch_reply> done) {
+              time_point give_up,
+              const fleet::when_done<fleet::watch_reply>& done) {
         store_.world_.after(watch_poll, life_, [=, this] {
             const auto now = store_.world_.now;
             fleet::watch_reply reply;
