--- a/tests/fleet/virtual_store.cpp
+++ b/tests/fleet/virtual_store.cpp
@@ -50,7 +50,7 @@
                duration timeout,
                fleet::when_done<fleet::watch_reply> done) override {
         poll(prefix, after, store_.world_.now + wait,
-             store_.world_.now + timeout, std::move(done));
+             store_.world_.now + timeout, done);
     }
     void grant_lease(duration ttl, duration timeout,
                      fleet::when_done<fleet::lease_reply> done) override {
