Read each source once with the linter, and remember passes across checkouts

Cause: the linter took 9 to 13 minutes. Sources that are built again with deliberate faults have two entries in the compile commands, and each was read twice (owner_schedule.cpp: 68 s); any changed header made every source be read again, and a fresh clone remembered nothing. Ruled out: fewer checks; parsing several sources as one (their unnamed namespaces clash). Change: lint.py reads each source once, keys its stamps by the content of all files that its object was built from, and keeps them in the user's cache. A source that no build knows is an error.

--- a/tools/check.sh
+++ b/tools/check.sh
@@ -8,5 +8,5 @@
 tools/format.sh --check
 tools/generate.sh --check
 tools/build.sh | tail -3
-tools/lint.sh
+tools/lint.py
 tools/test.sh
--- /dev/null
+++ b/tools/lint.py
@@ -0,0 +1,116 @@
+#!/usr/bin/env python3
+"""Runs clang-tidy over all sources of the project; its findings are errors.
+
+Each source is read once, with the flags of its first build: those that are
+built again with deliberate faults were read twice. A source that passed is
+remembered by the content of all that it was built from, in the user's cache,
+as the compiler's cache does; LINT_CACHE names another folder.
+
+Usage: lint.py [SOURCE...], after a build.
+"""
+import concurrent.futures
+import hashlib
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILD = ROOT / "build"
+CACHE = pathlib.Path(
+    os.environ.get("LINT_CACHE")
+    or pathlib.Path(os.environ.get("XDG_CACHE_HOME") or pathlib.Path.home() / ".cache")
+    / "celerylift-lint"
+)
+JOBS = os.cpu_count() or 1
+
+
+def output_of(*command):
+    return subprocess.run(command, cwd=ROOT, check=True, capture_output=True, text=True).stdout
+
+
+def read_dependencies():
+    """The files that each object was built from, by the object's path."""
+    files, current = {}, None
+    for line in output_of("ninja", "-C", str(BUILD), "-t", "deps").splitlines():
+        if line.startswith("    "):
+            files[current].append(BUILD / line.strip())
+        elif ": #deps" in line:
+            current = line.split(":", 1)[0]
+            files[current] = []
+    return files
+
+
+class Digests:
+    """Hashes of files, each read once."""
+
+    def __init__(self):
+        self.known = {}
+
+    def of(self, path):
+        if path not in self.known:
+            self.known[path] = hashlib.sha256(path.read_bytes()).hexdigest()
+        return self.known[path]
+
+
+def stamp_of(entry, dependencies, digests, settings):
+    """The stamp of a source that passed, or None where it isn't built yet."""
+    words = entry["command"].split()
+    read = dependencies.get(words[words.index("-o") + 1])
+    if not read:
+        return None
+    total = hashlib.sha256(settings)
+    # The place of the checkout is no matter.
+    total.update(entry["command"].replace(str(ROOT), "").encode())
+    for digest in sorted(digests.of(path) for path in read):
+        total.update(digest.encode())
+    return CACHE / total.hexdigest()
+
+
+def lint(source, database, stamp):
+    if stamp and stamp.exists():
+        return source, "remembered", ""
+    ran = subprocess.run(
+        ["clang-tidy", "-p", database, "--quiet", source],
+        cwd=ROOT, capture_output=True, text=True,
+    )
+    if ran.returncode != 0:
+        return source, "failed", ran.stdout + ran.stderr
+    if stamp:
+        stamp.touch()
+    return source, "passed", ""
+
+
+def main():
+    CACHE.mkdir(parents=True, exist_ok=True)
+    entries = {}
+    for entry in json.loads((BUILD / "compile_commands.json").read_text()):
+        entries.setdefault(os.path.relpath(entry["file"], ROOT), entry)
+    listed = output_of("git", "ls-files", "-co", "--exclude-standard", "*.cpp").split()
+    sources = sys.argv[1:] or listed
+    unbuilt = [s for s in sources if s not in entries]
+    if unbuilt:
+        print("lint: no build has these sources; add them to a CMakeLists.txt:", *unbuilt)
+        return 1
+    settings = (ROOT / ".clang-tidy").read_bytes() + output_of("clang-tidy", "--version").encode()
+    dependencies, digests = read_dependencies(), Digests()
+    counts = {"passed": 0, "remembered": 0, "failed": 0}
+    with tempfile.TemporaryDirectory() as database, concurrent.futures.ThreadPoolExecutor(JOBS) as pool:
+        once = pathlib.Path(database) / "compile_commands.json"
+        once.write_text(json.dumps(list(entries.values())))
+        work = [
+            pool.submit(lint, s, database, stamp_of(entries[s], dependencies, digests, settings))
+            for s in sources
+        ]
+        for done in concurrent.futures.as_completed(work):
+            source, how, text = done.result()
+            counts[how] += 1
+            if how == "failed":
+                print(f"lint: {source} failed\n{text}", flush=True)
+    print("lint:", ", ".join(f"{n} {how}" for how, n in counts.items()))
+    return 1 if counts["failed"] else 0
+
+
+sys.exit(main())
