Reach the store through another entry where it turns this one away

Cause: an entry that alone was cut off from the store answered 503 or 504 until the platform took it out of rotation 3.5 s later, and an owner that was cut off lost the cell after 1.2 s. Ruled out: callers' retries alone (they come back to the same entry where a failure domain has only one); one entry that calls for all. Change: relayed_store decorates the client of the store. From the first call that is refused, or that stays without an answer while no other is answered, calls go to the other entries in turn; a read each 0.4 s shows whether the store answers directly again. Entries connect to those that their settings name, so that one that starts cut off serves as well. A connection that is given up while it is read now lives until it has been read, and a second connect() to a name changes nothing. Tests: five stories failed with the relay switched off and pass with it (an_entry_cut_off_from_the_store); the fleet's matrix and processes pass.

--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -6,12 +6,14 @@
 #include <celerylift/fleet/mirror.hpp>
 #include <celerylift/fleet/owner.hpp>
 #include <celerylift/fleet/peer_links.hpp>
+#include <celerylift/fleet/relayed_store.hpp>
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace celerylift::fleet {
 
@@ -19,6 +21,9 @@
     EntryRecord self;
     std::string config_key; // In the store; written by the operators.
     config_decoder decode_config;
+    /// Addresses of entries that may be there; asked for the store where it
+    /// is out of reach from the start.
+    std::vector<std::string> first_entries{};
 };
 
 /// All of an entry but its sockets: follows the store, serves callers through
@@ -49,6 +54,7 @@
     const owner& decisions() const { return owner_; }
 
 private:
+    void follow_entries();
     void take_change(const store_change& change);
     void take_entry(const store_change& change);
     void take_config(const store_change& change);
@@ -57,11 +63,12 @@
     void read_config();
     void tell_entries(const std::vector<store_item>& items);
     void take_notice(const Notice& notice);
+    void serve_store_call(const std::string& entry, const StoreCall& call);
     void send_welcome(const std::string& agent);
     void welcome_everyone();
 
     runtime& run_;
-    store& records_;
+    relayed_store records_;
     entry_node_settings settings_;
     sender send_;
     peer_links peers_;
--- /dev/null
+++ b/modules/fleet/include/celerylift/fleet/relayed_store.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <celerylift/fleet/runtime.hpp>
+#include <celerylift/fleet/store.hpp>
+
+#include <fleet.pb.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace celerylift::fleet {
+
+/// A process's way to the store: its own connection or, while the store turns
+/// this host away or the path to it is cut, another entry's. Calls go directly
+/// again as soon as the store answers here.
+class relayed_store : public store {
+public:
+    using sender =
+        std::function<void(const std::string& entry, const FleetEnvelope&)>;
+
+    relayed_store(runtime& run, store& direct, sender send);
+
+    /// Begins to look whether the store answers again while it doesn't.
+    void start();
+
+    /// Addresses of the other entries.
+    void set_entries(std::vector<std::string> addresses);
+
+    bool is_cut_off() const { return cut_off_; }
+
+    /// The answer of another entry to a call.
+    void take_reply(const StoreReply& reply);
+
+    /// Makes a call for another entry; refuses at once where the store is out
+    /// of reach from here as well.
+    void serve(const StoreCall& call,
+               std::function<void(const StoreReply&)> done);
+
+    void transact(const store_transaction& transaction, duration timeout,
+                  when_done<transaction_reply> done) override;
+    void read(const std::string& key, duration timeout,
+              when_done<read_reply> done) override;
+    void range(const std::string& prefix, const std::string& after,
+               duration timeout, when_done<range_reply> done) override;
+    void watch(const std::string& prefix, std::int64_t after, duration wait,
+               duration timeout, when_done<watch_reply> done) override;
+    void grant_lease(duration ttl, duration timeout,
+                     when_done<lease_reply> done) override;
+    void renew_lease(std::int64_t lease, duration timeout,
+                     when_done<lease_reply> done) override;
+    void end_lease(std::int64_t lease, duration timeout,
+                   when_done<lease_reply> done) override;
+
+private:
+    /// A call that another entry makes for this one.
+    struct open_call {
+        std::string entry;
+        std::function<void(const StoreReply&)> done;
+    };
+
+    template <class Reply, class Direct, class Describe>
+    void route(duration timeout, when_done<Reply> done, Direct direct,
+               Describe describe);
+
+    /// Takes note of an answer, or of none, to a call that was made directly.
+    void note(store_status status, time_point sent);
+    void probe();
+    /// The entry to ask, or nothing where a call is to be made directly.
+    const std::string* choose_entry();
+    void relay(const std::string& entry, StoreCall call, duration timeout,
+               std::function<void(const StoreReply&)> done);
+    void give_up(std::int64_t number);
+
+    runtime& run_;
+    store& direct_;
+    sender send_;
+    bool cut_off_ = false;
+    bool probing_ = false;
+    time_point answered_at_{};
+    std::vector<std::string> entries_;
+    std::size_t next_entry_ = 0;
+    std::map<std::string, time_point> avoided_until_;
+    std::int64_t last_number_ = 0;
+    std::map<std::int64_t, open_call> open_;
+    int serving_ = 0;
+};
+
+} // namespace celerylift::fleet
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -2,6 +2,8 @@
 
 #include <celerylift/fleet/names.hpp>
 
+#include <algorithm>
+
 namespace celerylift::fleet {
 
 namespace {
@@ -22,18 +24,22 @@
 entry_node::entry_node(runtime& run, store& records,
                        entry_node_settings settings, sender send,
                        peer_links peers)
-    : run_(run), records_(records), settings_(std::move(settings)),
-      send_(std::move(send)), peers_(std::move(peers)),
-      leadership_(run, records, settings_.self,
-                  {[this](std::int64_t epoch) {
-                       gained_epoch_ = epoch;
-                       gain_cell();
-                   },
-                   [this] {
-                       gained_epoch_ = 0;
-                       deactivate(owner_);
-                   }}),
-      owner_{run, records, [this] { return leadership_.is_valid(); },
+    : run_(run),
+      records_(run, records,
+               [this](const std::string& entry, const FleetEnvelope& envelope) {
+                   peers_.send(entry, envelope);
+               }),
+      settings_(std::move(settings)), send_(std::move(send)),
+      peers_(std::move(peers)), leadership_(run, records_, settings_.self,
+                                            {[this](std::int64_t epoch) {
+                                                 gained_epoch_ = epoch;
+                                                 gain_cell();
+                                             },
+                                             [this] {
+                                                 gained_epoch_ = 0;
+                                                 deactivate(owner_);
+                                             }}),
+      owner_{run, records_, [this] { return leadership_.is_valid(); },
              [this](const std::string& agent, const OwnerOrders& orders) {
                  FleetEnvelope envelope;
                  *envelope.mutable_orders() = orders;
@@ -42,17 +48,22 @@
              [this](const std::vector<store_item>& items) {
                  tell_entries(items);
              }},
-      front_{run, records, nullptr, &directory_,
+      front_{run, records_, nullptr, &directory_,
              [this](const store_item& item) { tell_entries({item}); }},
       cell_mirror_(
-          run, records, std::string(cell_prefix),
+          run, records_, std::string(cell_prefix),
           [this](const store_change& change) { take_change(change); },
           [this] { follow_owner(); }),
       config_mirror_(
-          run, records, settings_.config_key,
+          run, records_, settings_.config_key,
           [this](const store_change& change) { take_config(change); }) {}
 
 void entry_node::start() {
+    for (const auto& address : settings_.first_entries)
+        if (address != settings_.self.address())
+            peers_.connect(address);
+    follow_entries();
+    records_.start();
     cell_mirror_.start();
     config_mirror_.start();
     leadership_.start();
@@ -93,11 +104,26 @@
     finish_step(owner_);
 }
 
+/// Tells the way to the store whom it can ask.
+void entry_node::follow_entries() {
+    std::vector<std::string> addresses;
+    for (const auto& [name, record] : entries_)
+        if (name != settings_.self.name())
+            addresses.push_back(record.address());
+    for (const auto& address : settings_.first_entries)
+        if (address != settings_.self.address() &&
+            std::ranges::find(addresses, address) == addresses.end())
+            addresses.push_back(address);
+    records_.set_entries(std::move(addresses));
+}
+
 void entry_node::take_entry(const store_change& change) {
     const auto name = change.item.key.substr(entry_prefix.size());
     const bool other = name != settings_.self.name();
     if (auto it = entries_.find(name); it != entries_.end()) {
-        if (other)
+        if (other &&
+            std::ranges::find(settings_.first_entries, it->second.address()) ==
+                settings_.first_entries.end())
             peers_.disconnect(it->second.address());
         entries_.erase(it);
     }
@@ -109,6 +135,7 @@
     }
     if (change.removed && name == settings_.self.name())
         leadership_.on_own_entry_removed();
+    follow_entries();
 }
 
 void entry_node::follow_owner() {
@@ -167,6 +194,10 @@
                             const FleetEnvelope& envelope) {
     if (envelope.has_notice())
         return take_notice(envelope.notice());
+    if (envelope.has_store_reply())
+        return records_.take_reply(envelope.store_reply());
+    if (envelope.has_store_call())
+        return serve_store_call(from, envelope.store_call());
     agents_[from] = run_.now();
     if (envelope.has_report() && owner_.epoch != 0)
         on_report(owner_, from, envelope.report());
@@ -202,6 +233,15 @@
             cell_mirror_.observe({item.key(), item.value(), item.revision()});
 }
 
+void entry_node::serve_store_call(const std::string& entry,
+                                  const StoreCall& call) {
+    records_.serve(call, [this, entry](const StoreReply& reply) {
+        FleetEnvelope envelope;
+        *envelope.mutable_store_reply() = reply;
+        send_(entry, envelope);
+    });
+}
+
 void entry_node::send_welcome(const std::string& agent) {
     FleetEnvelope envelope;
     auto* welcome = envelope.mutable_welcome();
--- /dev/null
+++ b/modules/fleet/src/store_calls.cpp
@@ -0,0 +1,198 @@
+#include <celerylift/fleet/store_calls.hpp>
+
+namespace celerylift::fleet {
+
+namespace {
+
+StoreStatus to_record(store_status status) {
+    switch (status) {
+    case store_status::ok:
+        return STORE_OK;
+    case store_status::conflict:
+        return STORE_CONFLICT;
+    case store_status::not_found:
+        return STORE_NOT_FOUND;
+    case store_status::compacted:
+        return STORE_COMPACTED;
+    case store_status::refused:
+        return STORE_REFUSED;
+    case store_status::unknown:
+        break;
+    }
+    return STORE_UNKNOWN;
+}
+
+store_status from_record(StoreStatus status) {
+    switch (status) {
+    case STORE_OK:
+        return store_status::ok;
+    case STORE_CONFLICT:
+        return store_status::conflict;
+    case STORE_NOT_FOUND:
+        return store_status::not_found;
+    case STORE_COMPACTED:
+        return store_status::compacted;
+    case STORE_REFUSED:
+        return store_status::refused;
+    default:
+        return store_status::unknown;
+    }
+}
+
+store_item from_record(const StoredItem& item) {
+    return {item.key(), item.value(), item.revision()};
+}
+
+void add_item(const store_item& item, StoreReply& reply, bool removed = false) {
+    auto* out = reply.add_items();
+    out->set_key(item.key);
+    out->set_value(item.value);
+    out->set_revision(item.revision);
+    out->set_removed(removed);
+}
+
+store_transaction from_record(const StoreTransaction& record) {
+    store_transaction transaction;
+    for (const auto& condition : record.expected())
+        transaction.expected.push_back({condition.key(), condition.revision()});
+    for (const auto& put : record.puts())
+        transaction.puts.push_back({put.key(), put.value(), put.lease()});
+    for (const auto& key : record.removals())
+        transaction.removals.push_back(key);
+    return transaction;
+}
+
+void fill(const transaction_reply& from, StoreReply& reply) {
+    reply.set_revision(from.revision);
+    for (const auto& item : from.current)
+        add_item(item, reply);
+}
+
+void fill(const read_reply& from, StoreReply& reply) {
+    reply.set_as_of(from.as_of);
+    add_item(from.item, reply);
+}
+
+void fill(const range_reply& from, StoreReply& reply) {
+    reply.set_as_of(from.as_of);
+    reply.set_has_more(from.has_more);
+    for (const auto& item : from.items)
+        add_item(item, reply);
+}
+
+void fill(const watch_reply& from, StoreReply& reply) {
+    reply.set_as_of(from.as_of);
+    for (const auto& change : from.changes)
+        add_item(change.item, reply, change.removed);
+}
+
+void fill(const lease_reply& from, StoreReply& reply) {
+    reply.set_lease(from.lease);
+    reply.set_ttl_ms(from.ttl.count());
+}
+
+template <class Reply>
+when_done<Reply> answer_to(std::int64_t number,
+                           std::function<void(const StoreReply&)> done) {
+    return [number, done = std::move(done)](const Reply& from) {
+        StoreReply reply;
+        reply.set_number(number);
+        reply.set_status(to_record(from.status));
+        fill(from, reply);
+        done(reply);
+    };
+}
+
+} // namespace
+
+void make_call(store& at, const StoreCall& call,
+               std::function<void(const StoreReply&)> done) {
+    const auto n = call.number();
+    const duration timeout{call.timeout_ms()};
+    switch (call.call_case()) {
+    case StoreCall::kTransaction:
+        return at.transact(from_record(call.transaction()), timeout,
+                           answer_to<transaction_reply>(n, std::move(done)));
+    case StoreCall::kReadKey:
+        return at.read(call.read_key(), timeout,
+                       answer_to<read_reply>(n, std::move(done)));
+    case StoreCall::kRange:
+        return at.range(call.range().prefix(), call.range().after(), timeout,
+                        answer_to<range_reply>(n, std::move(done)));
+    case StoreCall::kWatch:
+        return at.watch(call.watch().prefix(), call.watch().after(),
+                        duration{call.watch().wait_ms()}, timeout,
+                        answer_to<watch_reply>(n, std::move(done)));
+    case StoreCall::kGrantTtlMs:
+        return at.grant_lease(duration{call.grant_ttl_ms()}, timeout,
+                              answer_to<lease_reply>(n, std::move(done)));
+    case StoreCall::kRenewLease:
+        return at.renew_lease(call.renew_lease(), timeout,
+                              answer_to<lease_reply>(n, std::move(done)));
+    case StoreCall::kEndLease:
+        return at.end_lease(call.end_lease(), timeout,
+                            answer_to<lease_reply>(n, std::move(done)));
+    case StoreCall::CALL_NOT_SET:
+        break;
+    }
+    // From a newer version: nothing was done.
+    StoreReply reply;
+    reply.set_number(n);
+    reply.set_status(STORE_REFUSED);
+    done(reply);
+}
+
+StoreTransaction to_record(const store_transaction& transaction) {
+    StoreTransaction record;
+    for (const auto& condition : transaction.expected) {
+        auto* out = record.add_expected();
+        out->set_key(condition.key);
+        out->set_revision(condition.revision);
+    }
+    for (const auto& put : transaction.puts) {
+        auto* out = record.add_puts();
+        out->set_key(put.key);
+        out->set_value(put.value);
+        out->set_lease(put.lease);
+    }
+    for (const auto& key : transaction.removals)
+        record.add_removals(key);
+    return record;
+}
+
+void from_record(const StoreReply& record, transaction_reply& reply) {
+    reply.status = from_record(record.status());
+    reply.revision = record.revision();
+    for (const auto& item : record.items())
+        reply.current.push_back(from_record(item));
+}
+
+void from_record(const StoreReply& record, read_reply& reply) {
+    reply.status = from_record(record.status());
+    reply.as_of = record.as_of();
+    if (record.items_size() > 0)
+        reply.item = from_record(record.items(0));
+}
+
+void from_record(const StoreReply& record, range_reply& reply) {
+    reply.status = from_record(record.status());
+    reply.as_of = record.as_of();
+    reply.has_more = record.has_more();
+    for (const auto& item : record.items())
+        reply.items.push_back(from_record(item));
+}
+
+void from_record(const StoreReply& record, watch_reply& reply) {
+    reply.status = from_record(record.status());
+    reply.as_of = record.as_of();
+    for (const auto& item : record.items())
+        reply.changes.push_back({from_record(item), item.removed()});
+}
+
+void from_record(const StoreReply& record, lease_reply& reply) {
+    reply.status = from_record(record.status());
+    reply.lease = record.lease();
+    reply.ttl = duration{record.ttl_ms()};
+}
+
+} // namespace celerylift::fleet
--- a/modules/host/include/celerylift/host/fleet_settings.hpp
+++ b/modules/host/include/celerylift/host/fleet_settings.hpp
@@ -17,6 +17,8 @@
     base::address link;      // Where agents connect.
     base::address metrics;
     base::address store;
+    /// Entries to ask first; some may be gone, and one is this.
+    std::vector<base::address> entries;
 
     bool operator==(const fleet_entry_settings&) const = default;
 };
--- a/modules/host/src/fleet_entry.cpp
+++ b/modules/host/src/fleet_entry.cpp
@@ -26,6 +26,14 @@
     return record;
 }
 
+fleet::entry_node_settings node_settings(const fleet_entry_settings& settings) {
+    fleet::entry_node_settings out{record_of(settings), adapter::config_key,
+                                   &adapter::decode_config};
+    for (const auto& entry : settings.entries)
+        out.first_entries.push_back(to_string(entry));
+    return out;
+}
+
 } // namespace
 
 fleet_entry::fleet_entry(const fleet_entry_settings& settings)
@@ -36,8 +44,7 @@
              }),
       store_(adapter::make_store(frame_.client, settings.store)),
       node_(
-          frame_.run, *store_,
-          {record_of(settings), adapter::config_key, &adapter::decode_config},
+          frame_.run, *store_, node_settings(settings),
           [this](const std::string& agent,
                  const fleet::FleetEnvelope& envelope) {
               links_.send(agent, envelope);
--- a/modules/host/src/fleet_settings.cpp
+++ b/modules/host/src/fleet_settings.cpp
@@ -19,6 +19,15 @@
                     listen.number("metrics", 1, highest_port))};
 }
 
+/// Entries to ask first, at the port of their links.
+std::vector<base::address> read_entries(base::settings_reader& reader,
+                                        std::uint16_t port) {
+    auto entries = reader.addresses("entries");
+    for (auto& entry : entries)
+        entry.port = port;
+    return entries;
+}
+
 } // namespace
 
 result<fleet_entry_settings>
@@ -37,6 +46,7 @@
     s.metrics = read_metrics(listen, ip);
     listen.finish();
     reader.finish(listen);
+    s.entries = read_entries(reader, s.link.port);
     reader.finish();
     if (!reader.problem().empty())
         return settings_error(reader);
@@ -58,9 +68,7 @@
     reader.finish(listen);
     const auto port = static_cast<std::uint16_t>(
         reader.number("entry_port", 1, highest_port));
-    s.entries = reader.addresses("entries");
-    for (auto& entry : s.entries)
-        entry.port = port;
+    s.entries = read_entries(reader, port);
     reader.finish();
     if (!reader.problem().empty())
         return settings_error(reader);
--- a/modules/net/include/celerylift/net/message_node.hpp
+++ b/modules/net/include/celerylift/net/message_node.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace celerylift::net {
 
@@ -27,6 +28,7 @@
     message_node(control_loop& loop, std::string name, receiver receive);
 
     void listen(const base::address& at);
+    /// Changes nothing where there is a connection of that name.
     void connect(const std::string& peer, const base::address& at);
 
     /// Gives a connection up. What was queued for it is dropped.
@@ -57,6 +59,7 @@
     zmq::context_t context_{1};
     std::optional<zmq::socket_t> router_;
     std::map<std::string, zmq::socket_t> dealers_;
+    std::vector<std::map<std::string, zmq::socket_t>::node_type> retired_;
     bool draining_ = false;
     std::uint64_t sent_ = 0;
     std::uint64_t dropped_ = 0;
--- a/modules/net/src/message_node.cpp
+++ b/modules/net/src/message_node.cpp
@@ -49,6 +49,8 @@
 void message_node::connect(const std::string& peer, const base::address& at) {
     auto [it, added] =
         dealers_.try_emplace(peer, context_, zmq::socket_type::dealer);
+    if (!added)
+        return;
     auto& socket = it->second;
     prepare(socket);
     socket.set(zmq::sockopt::routing_id, name_);
@@ -66,7 +68,10 @@
         return;
     loop_.unwatch(it->second.get(zmq::sockopt::fd));
     it->second.set(zmq::sockopt::linger, 0);
-    dealers_.erase(it);
+    // A receiver may give up the very connection that is being read.
+    retired_.push_back(dealers_.extract(it));
+    if (!draining_)
+        retired_.clear();
 }
 
 void message_node::send(const std::string& to,
@@ -118,6 +123,8 @@
             continue;
         ++received_;
         receive_(from, part.to_string_view());
+        if (!retired_.empty())
+            return; // Perhaps this one; drain() is posted again.
     }
 }
 
@@ -135,6 +142,9 @@
         if (auto it = dealers_.find(peer); it != dealers_.end())
             drain(it->second, peer);
     draining_ = false;
+    if (std::exchange(retired_, {}).empty())
+        return;
+    loop_.post([this] { drain(); });
 }
 
 } // namespace celerylift::net
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -529,4 +529,87 @@
     EXPECT_EQ(f.history.starts, 1);
 }
 
+// ---- While the store turns single entries away ----
+
+TEST(an_entry_cut_off_from_the_store, accepts_and_shows_jobs_through_another) {
+    for (const auto fault : {store_fault::silent, store_fault::busy}) {
+        virtual_fleet f;
+        const int cut = f.owner_entry() == 1 ? 2 : 1;
+        f.store.fault_of[fmt::format("entry-{}", cut)] = fault;
+        EXPECT_EQ(f.hand_in(job_of(id_of(1), "ms=300", 2, small), cut).kind,
+                  answer_kind::accepted);
+        EXPECT_TRUE(
+            f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{4000}, cut));
+        f.world.run_for(duration{6000});
+        EXPECT_TRUE(f.entry(cut).is_ready());
+        EXPECT_EQ(f.show(id_of(9), cut).kind, answer_kind::unknown_job);
+        expect_kept(f);
+    }
+}
+
+TEST(an_entry_cut_off_from_the_store, goes_on_owning_the_cell) {
+    for (const auto fault : {store_fault::silent, store_fault::busy}) {
+        virtual_fleet f;
+        const int owner = f.owner_entry();
+        const auto epoch = f.entry(owner).decisions().epoch;
+        f.store.fault_of[fmt::format("entry-{}", owner)] = fault;
+        f.world.run_for(duration{5000});
+        EXPECT_EQ(f.owner_entry(), owner);
+        EXPECT_EQ(f.entry(owner).decisions().epoch, epoch);
+        f.store.fault_of.clear();
+        f.world.run_for(duration{3000});
+        EXPECT_EQ(f.entry(owner).decisions().epoch, epoch);
+    }
+}
+
+TEST(an_entry_cut_off_from_the_store, follows_configurations) {
+    virtual_fleet f;
+    f.store.fault_of["entry-1"] = store_fault::silent;
+    f.world.run_for(duration{1500});
+    f.configure(7);
+    f.world.run_for(duration{1500});
+    EXPECT_EQ(f.entry(1).calls().config->version, 7);
+}
+
+TEST(an_entry_cut_off_from_the_store, serves_although_it_starts_so) {
+    virtual_fleet f;
+    const int cut = f.owner_entry() == 1 ? 2 : 1;
+    f.store.fault_of[fmt::format("entry-{}", cut)] = store_fault::busy;
+    f.kill_entry(cut);
+    f.world.run_for(duration{500});
+    f.start_entry(cut);
+    EXPECT_TRUE(f.world.run_until([&] { return f.entry(cut).is_ready(); },
+                                  duration{3000}));
+    EXPECT_EQ(f.hand_in(job_of(id_of(1), "ms=300", 2, small), cut).kind,
+              answer_kind::accepted);
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED));
+}
+
+TEST(an_entry_cut_off_from_the_store, asks_a_third_where_one_has_gone) {
+    virtual_fleet f;
+    f.store.fault_of["entry-1"] = store_fault::silent;
+    f.world.run_for(duration{2000});
+    f.kill_entry(2);
+    f.world.run_for(duration{1200});
+    EXPECT_EQ(f.hand_in(job_of(id_of(1), "ms=300", 2, small), 1).kind,
+              answer_kind::accepted);
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{6000}, 1));
+    expect_kept(f);
+}
+
+TEST(entries_that_are_all_cut_off, say_so_and_come_back) {
+    virtual_fleet f;
+    f.store.fault = store_fault::busy;
+    f.world.run_for(duration{1000});
+    EXPECT_EQ(f.hand_in(job_of(id_of(1), "ms=300", 1, small), 1).kind,
+              answer_kind::not_run);
+    f.store.fault = store_fault::none;
+    f.world.run_for(duration{3000});
+    EXPECT_EQ(f.show(id_of(1), 2).kind, answer_kind::unknown_job);
+    EXPECT_EQ(f.hand_in(job_of(id_of(1), "ms=300", 1, small), 1).kind,
+              answer_kind::accepted);
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED));
+    expect_kept(f);
+}
+
 } // namespace celerylift::test
--- a/tests/fleet/virtual_fleet.cpp
+++ b/tests/fleet/virtual_fleet.cpp
@@ -65,7 +65,11 @@
     self.set_incarnation(std::to_string(++lives_));
     p->node = std::make_unique<fleet::entry_node>(
         p->process->run, *p->client,
-        fleet::entry_node_settings{self, "op/config", &decode},
+        fleet::entry_node_settings{
+            self,
+            "op/config",
+            &decode,
+            {address_of(1), address_of(2), address_of(3)}},
         [this, number](const std::string& agent,
                        const fleet::FleetEnvelope& envelope) {
             to_agent(number, agent, envelope);
@@ -162,6 +166,15 @@
 void virtual_fleet::to_agent(int entry, const std::string& agent,
                              const fleet::FleetEnvelope& envelope) {
     const int number = std::stoi(agent.substr(agent.rfind('-') + 1));
+    if (agent.starts_with("entry-")) {
+        // The way back on a connection that the other entry has opened.
+        world.after(link_delay, [this, entry, number, envelope] {
+            if (entries_.contains(number))
+                entries_.at(number)->node->on_message(address_of(entry),
+                                                      envelope);
+        });
+        return;
+    }
     world.after(link_delay, [this, entry, number, envelope] {
         if (agents_.contains(number) && is_up(entry, number))
             agents_.at(number)->node->on_message(address_of(entry), envelope);
--- a/tests/fleet_processes.sh
+++ b/tests/fleet_processes.sh
@@ -52,6 +52,7 @@
   readiness: 127.0.0.$((10 + $1)):$((base + 2))
   link: $((base + 3))
   metrics: $((base + 4))
+entries: [127.0.0.11:1, 127.0.0.12:1, 127.0.0.13:1]
 YAML
   run_process "entry-$1" "$build/modules/entry/celerylift" fleet-entry \
     --config="$work/entry-$1.yaml"
