Acknowledge no ends of a life that no heartbeat has told of

A server had started again under its id; until its next heartbeat the agent saw the lists of the new life, ignored them, and went on acknowledging by the count of the old one, so that the new life forgot the end of a run that had been started meanwhile. That run was then given up as one of the old life, and the task was run once more. Ruled out: the list that was overtaken (the lists carry the life's birth); a lost acknowledgement. Change: after a look without an answer, or with one of another life, the agent acknowledges and starts nothing until the life that the heartbeats told of has answered. The owner adopts a run that the next life lists; one that was never seen there is barred in the next life before it is given up.

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -64,6 +64,10 @@
     /// Runs can't outlast this, unless the lease is extended again.
     time_point runs_end_by{};
     time_point answered_at{};
+    /// The last look was answered by the life that the heartbeats told of. A
+    /// server may start again under its id before its next heartbeat.
+    bool life_confirmed = false;
+
 
     std::vector<RunningTask> running{};
     std::vector<EndedTask> ended{};
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -31,6 +31,7 @@
     a.clock_known = false;
     a.listed_clock_ms = 0;
     a.noted_end = 0;
+    a.life_confirmed = false;
     a.orders_current = false;
     a.running.clear();
     a.ended.clear();
@@ -81,8 +82,12 @@
         return;
     }
     if (reply.born_unix_ms != 0 && a.server.born_unix_ms != 0 &&
-        reply.born_unix_ms != a.server.born_unix_ms)
-        return; // Another life of the same id; its heartbeat is to come.
+        reply.born_unix_ms != a.server.born_unix_ms) {
+        // Another life of the same id; its heartbeat is to come.
+        a.life_confirmed = false;
+        a.hold_again_at = a.run.now() + hold_pause_after_failure;
+        return;
+    }
     a.departed = false;
     a.answered_at = a.run.now();
     // Replies on two connections may overtake each other.
@@ -98,13 +103,16 @@
 void hold(agent& a, duration wait, bool agent::*open) {
     hold_call call;
     // A server that doesn't answer must not keep its runs for ever.
+        a.life_confirmed = false;
     if (a.run.now() < a.answered_at + longest_unanswered_lease)
         call.deadline_ms = deadline_on_server(a);
     call.fencing_token = a.epoch;
-    call.acknowledged_end = a.noted_end;
+    // Another life counts its ends anew: none of them is noted yet.
+    call.acknowledged_end = a.life_confirmed ? a.noted_end : 0;
     call.wait = wait;
     if (call.deadline_ms)
         note_lease(a);
+    a.life_confirmed = true;
     a.*open = true;
     a.calls.hold(
         a.server.id, call,
--- a/modules/fleet/src/agent_orders.cpp
+++ b/modules/fleet/src/agent_orders.cpp
@@ -70,7 +70,7 @@
 
 bool may_start(const agent& a, const run_order& o) {
     if (a.stopping || a.departed || a.server.draining || !a.listed ||
-        !a.clock_known || !a.orders_current)
+        !a.clock_known || !a.orders_current || !a.life_confirmed)
         return false;
     if (a.run.now() + least_grant_for_start > a.granted_until)
         return false;
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -32,7 +32,35 @@
     lose_run(o, *t, gone.reason().c_str());
 }
 
-void take_incarnation(owner& o, server& s, const ServerState& state) {
+bool names_run(const AgentReport& report, const task& t) {
+    const auto is_it = [&](const auto& listed) {
+        return listed.name().run() == t.run &&
+               listed.name().task() == to_string(t.name);
+    };
+    return std::ranges::any_of(report.running(), is_it) ||
+           std::ranges::any_of(report.ended(), is_it);
+}
+
+/// A run that was assigned to an earlier life of its server, or to one that
+/// has left.
+void follow_restart(owner& o, const AgentReport& report, task& t) {
+    if (report.server().departed())
+        return lose_run(o, t, "its backend server has left");
+    // A start may reach the next life, which has the same id.
+    if (names_run(report, t)) {
+        t.incarnation = report.server().incarnation();
+        return;
+    }
+    if (t.seen_running)
+        return lose_run(o, t, "its backend server has restarted");
+    // It may still be on its way there: it must be barred first.
+    t.incarnation = report.server().incarnation();
+    stop_run(o, o.jobs.at(t.name.job), t,
+             "its backend server has restarted before it was seen there");
+}
+
+void take_incarnation(owner& o, server& s, const AgentReport& report) {
+    const auto& state = report.server();
     if (state.incarnation().empty())
         return;
     if (s.state.incarnation() != state.incarnation()) {
@@ -54,9 +82,7 @@
         auto* t = find_task(o.jobs.at(name.job), name);
         if (t && t->agent == s.agent && t->phase == task_phase::assigned &&
             !t->resolved && (!is_of_current_life(s, *t) || state.departed()))
-            lose_run(o, *t,
-                     state.departed() ? "its backend server has left"
-                                      : "its backend server has restarted");
+            follow_restart(o, report, *t);
     }
 }
 
@@ -169,7 +195,7 @@
     s.answered_sent_at_ms = report.sent_at_ms();
     if (!report.server().incarnation().empty())
         o.expected_agents.erase(agent);
-    take_incarnation(o, s, report.server());
+    take_incarnation(o, s, report);
     if (report.server().incarnation() == s.state.incarnation() &&
         !report.server().incarnation().empty()) {
         take_ends(o, s, report);
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -431,6 +431,22 @@
                                   duration{6000}));
 }
 
+// A server started again under its id. Until its next heartbeat the agent
+// acknowledged ends by the count of the life before: the end of a task that
+// had been started meanwhile was forgotten, and the task run once more.
+TEST(a_backend_server, that_restarts_between_heartbeats_loses_no_end) {
+    for (int moment = 0; moment < 500; moment += 20) {
+        virtual_fleet f({3, 1, 1});
+        f.hand_in(job_of(id_of(1), "ms=200", 4, small));
+        ASSERT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED));
+        f.world.run_for(duration{moment});
+        f.server(1).restart();
+        f.hand_in(job_of(id_of(2), "ms=60", 2, small));
+        EXPECT_TRUE(f.wait_for(id_of(2), fleet::JOB_COMPLETED)) << moment;
+        expect_kept(f);
+    }
+}
+
 // A server became six times slower; what it ran was late although other
 // servers stood idle.
 TEST(a_backend_server, that_is_slow_is_left_once_by_what_it_runs) {
