Tell a hung task by the time of its percents, and look each 0.3 s

Cause: a task was taken for hung after 1.8 s without a change of its percentage (2.8 s in a gang). That is a percent of three minutes: longer tasks were stopped again and again and never ended. And urgent gangs of two seconds waited for it 3.8 s, as looks came once a second. Change: the agent looks each 0.3 s while something runs and measures the standstill by the server's clock; the owner allows eight percents of the usual time and 0.6 s (fourteen percents of the declared time until four tasks of the queue have run), a second more while a gang gathers, and twice as much after each time.

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -20,6 +20,12 @@
     auto operator<=>(const run_key&) const = default;
 };
 
+/// The progress of a run, and since when it has stood there.
+struct progress_mark {
+    int percent = 0;
+    std::int64_t since_ms = 0; // By the server's clock.
+};
+
 /// How far an order has come.
 ///   queued    not sent to the server yet
 ///   sent      without a reply so far
@@ -58,16 +64,16 @@
     std::int64_t noted_end = 0;
     bool orders_current = false; // The owner has spoken of this incarnation.
 
+    /// The last look was answered by the life that the heartbeats told of. A
+    /// server may start again under its id before its next heartbeat.
+    bool life_confirmed = false;
+
     std::int64_t clock_ms = 0; // The server's, as of clock_at.
     time_point clock_at{};
     bool clock_known = false;
     /// Runs can't outlast this, unless the lease is extended again.
     time_point runs_end_by{};
     time_point answered_at{};
-    /// The last look was answered by the life that the heartbeats told of. A
-    /// server may start again under its id before its next heartbeat.
-    bool life_confirmed = false;
-
 
     std::vector<RunningTask> running{};
     std::vector<EndedTask> ended{};
@@ -76,6 +82,7 @@
     std::map<run_key, run_order> orders{};
     std::map<run_key, std::string> gone{};
     std::map<run_key, resources> needs{};
+    std::map<run_key, progress_mark> progress{};
 
     bool long_hold_open = false;
     bool short_hold_open = false;
--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -34,6 +34,7 @@
     int done_run = 0;          // The run that was done.
     bool from_scratch = false; // This owner has started it, with nothing saved.
     bool moved = false;        // Once, for its server's slowness.
+    int standstills = 0;       // Runs that were ended because they stood still.
     /// Has ended or can't begin, while other members of its gang may run.
     bool resolved = false;
     int failed_run = 0; // The gang's run whose failure it was counted for.
@@ -41,7 +42,6 @@
     int percent = 0;
     int first_percent = 0;
     std::int64_t first_seen_ms = 0;
-    std::int64_t progressed_ms = 0;
     time_point assigned_at{};
     time_point waiting_since{};
     std::string avoid_agent; // Where it failed or stood still last.
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -10,7 +10,11 @@
 namespace {
 
 constexpr duration report_period{500};
-constexpr duration hold_wait{1000};
+/// A server that runs something is looked at often enough to notice within
+/// about a second that a task stands still; an idle one is asked for nothing
+/// but its clock.
+constexpr duration hold_wait{300};
+constexpr duration idle_hold_wait{1000};
 constexpr duration hold_pause_after_failure{100};
 
 /// A server that hasn't answered for this long may be gone.
@@ -27,11 +31,11 @@
     a.server = heartbeat;
     a.incarnation = incarnation_of(heartbeat);
     a.departed = false;
+    a.life_confirmed = false;
     ++a.life;
     a.clock_known = false;
     a.listed_clock_ms = 0;
     a.noted_end = 0;
-    a.life_confirmed = false;
     a.orders_current = false;
     a.running.clear();
     a.ended.clear();
@@ -39,6 +43,7 @@
     a.orders.clear();
     a.gone.clear();
     a.needs.clear();
+    a.progress.clear();
     a.long_hold_open = false;
     a.short_hold_open = false;
     a.runs_end_by = {};
@@ -56,10 +61,26 @@
     });
 }
 
+/// Notes how long each run has stood at its percentage.
+void mark_progress(agent& a) {
+    std::map<run_key, progress_mark> marks;
+    for (auto& r : a.running) {
+        const run_key key{r.name().task(), r.name().run()};
+        const auto it = a.progress.find(key);
+        const bool still =
+            it != a.progress.end() && it->second.percent == r.percent();
+        const auto since = still ? it->second.since_ms : a.listed_clock_ms;
+        marks[key] = {r.percent(), since};
+        r.set_still_ms(a.listed_clock_ms - since);
+    }
+    a.progress = std::move(marks);
+}
+
 void take_lists(agent& a, const hold_reply& reply) {
     const bool news = !a.listed || !same_runs(a.running, reply.running) ||
                       reply.ended.size() != a.ended.size();
     a.running = reply.running;
+    mark_progress(a);
     a.ended.clear();
     for (const auto& end : reply.ended)
         if (end.number() > a.noted_end)
@@ -78,6 +99,7 @@
         return;
     }
     if (reply.status != server_status::ok) {
+        a.life_confirmed = false;
         a.hold_again_at = a.run.now() + hold_pause_after_failure;
         return;
     }
@@ -89,6 +111,7 @@
         return;
     }
     a.departed = false;
+    a.life_confirmed = true;
     a.answered_at = a.run.now();
     // Replies on two connections may overtake each other.
     const auto as_of = reply.clock_ms.value_or(a.listed_clock_ms);
@@ -103,7 +126,6 @@
 void hold(agent& a, duration wait, bool agent::*open) {
     hold_call call;
     // A server that doesn't answer must not keep its runs for ever.
-        a.life_confirmed = false;
     if (a.run.now() < a.answered_at + longest_unanswered_lease)
         call.deadline_ms = deadline_on_server(a);
     call.fencing_token = a.epoch;
@@ -112,7 +134,6 @@
     call.wait = wait;
     if (call.deadline_ms)
         note_lease(a);
-    a.life_confirmed = true;
     a.*open = true;
     a.calls.hold(
         a.server.id, call,
@@ -125,6 +146,12 @@
         });
 }
 
+duration wait_of_look(const agent& a) {
+    if (!a.clock_known)
+        return duration{0};
+    return a.running.empty() ? idle_hold_wait : hold_wait;
+}
+
 void check_server(agent& a) {
     const auto now = a.run.now();
     if (a.departed || now < a.answered_at + longest_server_silence ||
@@ -204,8 +231,7 @@
         return;
     advance_orders(a);
     if (!a.long_hold_open && a.run.now() >= a.hold_again_at)
-        hold(a, a.clock_known ? hold_wait : duration{0},
-             &agent::long_hold_open);
+        hold(a, wait_of_look(a), &agent::long_hold_open);
     if (std::exchange(a.look_again, a.short_hold_open) && !a.short_hold_open)
         hold(a, duration{0}, &agent::short_hold_open);
 }
--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -10,12 +10,18 @@
 /// this much at most; each write is one call for up to fifteen jobs.
 constexpr duration checkpoint_period{1500};
 
-/// Silence of a running task's progress after which it is taken for hung. A
-/// task of ten seconds shows progress every tenth of a second, and a server
-/// eight times slower every second; lists come about once a second. The
-/// members of a gang begin only once all are there.
-constexpr std::int64_t longest_standstill_ms = 1800;
-constexpr std::int64_t longest_gang_standstill_ms = 2800;
+/// A running task is taken for hung once its percentage has stood still for
+/// the time of several percents, and a while for the looks at it. Before
+/// enough of a queue's tasks have run that time is only declared, and may be
+/// ten times too short.
+constexpr std::int64_t least_standstill_ms = 600;
+constexpr int still_percents = 8;
+constexpr int still_percents_by_estimate = 14;
+/// The members of a gang begin only once all are there.
+constexpr std::int64_t gathering_ms = 1000;
+/// A task that has stood still elsewhere as well may just be far longer than
+/// others: each time doubles its limit, up to this many times.
+constexpr int most_doublings = 6;
 constexpr duration distrust_after_standstill{8000};
 
 /// A server is slow if one task would take this many times the usual, or two
@@ -58,8 +64,6 @@
         t.first_percent = percent;
         t.first_seen_ms = s.lists_as_of_ms;
     }
-    if (!t.seen_running || t.percent != percent)
-        t.progressed_ms = s.lists_as_of_ms;
     t.seen_running = true;
     t.percent = percent;
 }
@@ -69,19 +73,37 @@
            !t.resolved && !step_of(j, t.name).lasting();
 }
 
-void check_standstill(owner& o, server& s, job& j, task& t) {
-    const auto limit = step_of(j, t.name).gang() ? longest_gang_standstill_ms
-                                                 : longest_standstill_ms;
-    const auto still_for = s.lists_as_of_ms - t.progressed_ms;
-    if (t.percent >= 100 || still_for < limit)
+bool is_learned(const owner& o, const job& j) {
+    const auto it = o.learned_runs.find(j.submission.queue());
+    return it != o.learned_runs.end() && it->second.samples >= least_samples &&
+           it->second.usual.count() > 0;
+}
+
+std::int64_t longest_standstill_ms(const owner& o, const job& j,
+                                   const task& t) {
+    const int percents =
+        is_learned(o, j) ? still_percents : still_percents_by_estimate;
+    auto limit = least_standstill_ms +
+                 usual_run(o, j, t.name.step).count() * percents / 100;
+    if (step_of(j, t.name).gang() && t.percent == 0)
+        limit += gathering_ms;
+    return limit << std::min(t.standstills, most_doublings);
+}
+
+void check_standstill(owner& o, server& s, job& j, task& t,
+                      std::int64_t still_ms) {
+    if (t.percent >= 100 || still_ms < longest_standstill_ms(o, j, t))
         return;
+    ++t.standstills;
     t.avoid_agent = t.agent;
     s.distrusted_until = o.run.now() + distrust_after_standstill;
-    o.run.journal.event("run_stands_still", {{"task", to_string(t.name)},
-                                             {"run", t.run},
-                                             {"agent", s.agent},
-                                             {"percent", t.percent},
-                                             {"still_ms", still_for}});
+    o.run.journal.event("run_stands_still",
+                        {{"task", to_string(t.name)},
+                         {"run", t.run},
+                         {"agent", s.agent},
+                         {"percent", t.percent},
+                         {"still_ms", still_ms},
+                         {"usual_ms", usual_run(o, j, t.name.step).count()}});
     stop_run(o, j, t, "it makes no progress");
 }
 
@@ -100,11 +122,10 @@
 /// How many times longer than usual a task takes on this server; 0 where too
 /// little is known. Declared times are no measure.
 double slowness(const owner& o, const server& s, const job& j, const task& t) {
-    const auto it = o.learned_runs.find(j.submission.queue());
-    if (it == o.learned_runs.end() || it->second.samples < least_samples ||
-        it->second.usual.count() <= 0)
+    if (!is_learned(o, j))
         return 0;
-    return whole_time(s, t) / static_cast<double>(it->second.usual.count());
+    return whole_time(s, t) /
+           static_cast<double>(usual_run(o, j, t.name.step).count());
 }
 
 void leave_slow_server(owner& o, server& s, job& j, task& t) {
@@ -160,6 +181,7 @@
     const bool news = report.lists_as_of_ms() > s.lists_as_of_ms;
     s.lists_as_of_ms = report.lists_as_of_ms();
     std::vector<task*> tasks;
+    std::vector<std::int64_t> still_ms; // Of each of them.
     for (const auto& r : s.running) {
         auto* t = find_assigned(o, s, r.name());
         if (!t)
@@ -167,12 +189,14 @@
         take_progress(o, s, *t, r.percent());
         keep_checkpoint(o, o.jobs.at(t->name.job), *t, r.checkpoint());
         tasks.push_back(t);
+        still_ms.push_back(r.still_ms());
     }
     if (!news)
         return;
-    for (auto* t : tasks)
-        if (auto& j = o.jobs.at(t->name.job); can_be_judged(j, *t))
-            check_standstill(o, s, j, *t);
+    for (std::size_t i = 0; i < tasks.size(); ++i)
+        if (auto& j = o.jobs.at(tasks[i]->name.job);
+            can_be_judged(j, *tasks[i]))
+            check_standstill(o, s, j, *tasks[i], still_ms[i]);
     check_speed(o, s, tasks);
 }
 
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -431,6 +431,31 @@
                                   duration{6000}));
 }
 
+// A task of some minutes shows each percent of its progress only every few
+// seconds; each of its runs was taken for hung and stopped, without an end.
+TEST(a_backend_server, is_not_left_by_a_task_that_runs_for_long) {
+    virtual_fleet f;
+    auto job = job_of(id_of(1), "ms=600000", 1, small);
+    job.mutable_steps(0)->set_estimate_ms(90'000);
+    f.hand_in(job);
+    f.world.run_for(duration{30'000});
+    EXPECT_EQ(f.history.starts, 1);
+    EXPECT_EQ(f.history.at_work.size(), 1U);
+}
+
+// Urgent gangs waited 2.8 s and longer before a hung member was noticed.
+TEST(a_backend_server, whose_short_gangs_stand_still_is_left_sooner) {
+    virtual_fleet f;
+    for (int n = 1; n <= 6; ++n)
+        f.hand_in(job_of(id_of(n), "ms=1000", 1, small));
+    for (int n = 1; n <= 6; ++n)
+        f.wait_for(id_of(n), fleet::JOB_COMPLETED);
+    f.hand_in(gang_of(id_of(9), "hang", 2, small));
+    f.world.run_until([&] { return f.history.starts == 8; }, duration{1000});
+    EXPECT_TRUE(f.world.run_until([&] { return f.history.starts >= 10; },
+                                  duration{2600}));
+}
+
 // A server started again under its id. Until its next heartbeat the agent
 // acknowledged ends by the count of the life before: the end of a task that
 // had been started meanwhile was forgotten, and the task run once more.
