Tell a slow server by tasks of the same step, not by large jobs

Cause: two tasks on one server that took twice the usual time of their queue showed it as slow. Change: a task is compared with its fellows of the same step on other servers, 2.5 times as long; without any, with 2.5 of the longest runs of late or of its declared time. Tasks away from their data are not judged. Tests: is_not_left_by_the_tasks_of_a_large_job failed before and passes; that_is_slow_is_told_by_the_fellows_of_its_tasks.

--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -49,6 +49,9 @@
 
 struct step_run {
     std::vector<task> tasks;
+    /// What whole runs of its tasks took under this owner.
+    int timed_runs = 0;
+    duration total_time{0};
 };
 
 /// One time that the steps of a job run; most jobs have just one.
--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -59,6 +59,7 @@
 /// How long a task of a queue has run of late.
 struct learned_run {
     duration usual{0};
+    duration longest{0}; // Falls slowly towards the usual time.
     int samples = 0;
 };
 
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -15,6 +15,8 @@
 
 /// A run counts for this share of what is learned.
 constexpr int learning_steps = 5;
+/// The longest run of a queue is forgotten over some tens of runs.
+constexpr int forgetting_steps = 20;
 
 void assign_checkpoint(task& t, const std::string& checkpoint) {
     if (!checkpoint.empty())
@@ -94,7 +96,7 @@
 }
 
 /// Declared times are off by up to nine tenths; what ran tells more.
-void learn_run(owner& o, const job& j, const task& t) {
+void learn_run(owner& o, job& j, const task& t) {
     if (!t.from_scratch || t.phase != task_phase::assigned)
         return;
     const auto ran = o.run.now() - t.assigned_at;
@@ -102,6 +104,11 @@
     ++learned.samples;
     learned.usual +=
         (ran - learned.usual) / std::min(learned.samples, learning_steps);
+    learned.longest -= (learned.longest - learned.usual) / forgetting_steps;
+    learned.longest = std::max(learned.longest, ran);
+    auto& s = step_run_of(j, t.name);
+    ++s.timed_runs;
+    s.total_time += ran;
 }
 
 void finish_as_done(owner& o, task& t, int run) {
--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -24,9 +24,13 @@
 constexpr int most_doublings = 6;
 constexpr duration distrust_after_standstill{8000};
 
-/// A server is slow if one task would take this many times the usual, or two
-/// tasks half as much; sizes of single jobs vary less.
-constexpr double slow_factor = 4.0;
+/// A server is slow if a task there takes this many times as long as its
+/// fellows on other servers. They have the same work.
+constexpr double slow_beside_fellows = 2.5;
+/// Without fellows: as long as this many of the longest runs of its queue, or
+/// of its declared time. Jobs differ in size, all tasks of a job alike.
+constexpr double slow_beside_others = 2.5;
+constexpr int least_fellows = 2;
 constexpr duration distrust_while_slow{3000};
 
 /// A task leaves a slow server if what is left would take this many times
@@ -119,18 +123,67 @@
     return static_cast<double>(ran) * 100 / done;
 }
 
-/// How many times longer than usual a task takes on this server; 0 where too
-/// little is known. Declared times are no measure.
-double slowness(const owner& o, const server& s, const job& j, const task& t) {
-    if (!is_learned(o, j))
-        return 0;
-    return whole_time(s, t) /
-           static_cast<double>(usual_run(o, j, t.name.step).count());
+/// Tasks of the same step that run on other servers, or have run.
+struct fellows {
+    int there = 0;
+    int timed = 0;
+    double total_ms = 0; // As a whole, of the timed ones.
+};
+
+fellows fellows_of(const owner& o, const job& j, const task& t) {
+    const auto& step = step_run_of(j, t.name);
+    fellows found{step.timed_runs, step.timed_runs,
+                  static_cast<double>(step.total_time.count())};
+    for (const auto& other : step.tasks) {
+        const auto it = o.servers.find(other.agent);
+        if (other.agent == t.agent || it == o.servers.end() ||
+            !can_be_judged(j, other))
+            continue;
+        ++found.there;
+        if (other.percent - other.first_percent < least_percent_to_judge)
+            continue;
+        const auto time = whole_time(it->second, other);
+        found.timed += time > 0 ? 1 : 0;
+        found.total_ms += time;
+    }
+    return found;
+}
+
+/// Away from its data a task takes several times as long on any server.
+bool is_away(const server& s, const job& j, const task& t) {
+    const auto& rack = step_of(j, t.name).affinity_rack();
+    return !rack.empty() && rack != s.state.rack();
+}
+
+/// What a task should take as a whole on a sound server, in milliseconds, and
+/// how many times that shows a slow one; 0 where too little is known.
+struct expectation {
+    double whole_ms = 0;
+    double slow_factor = 1;
+};
+
+expectation expected_time(const owner& o, const server& s, const job& j,
+                          const task& t) {
+    if (is_away(s, j, t))
+        return {};
+    const auto beside = fellows_of(o, j, t);
+    if (beside.timed >= least_fellows)
+        return {beside.total_ms / beside.timed, slow_beside_fellows};
+    if (beside.there >= least_fellows || !is_learned(o, j))
+        return {};
+    const auto& learned = o.learned_runs.at(j.submission.queue());
+    const duration declared{step_of(j, t.name).estimate_ms()};
+    return {static_cast<double>(std::max(learned.longest, declared).count()),
+            slow_beside_others};
 }
 
 void leave_slow_server(owner& o, server& s, job& j, task& t) {
     const auto left = whole_time(s, t) * (100 - t.percent) / 100;
-    const auto anew = static_cast<double>(usual_run(o, j, t.name.step).count());
+    const auto expected = expected_time(o, s, j, t).whole_ms;
+    const auto anew =
+        expected > 0
+            ? expected
+            : static_cast<double>(usual_run(o, j, t.name.step).count());
     if (t.moved || left < anew * worth_moving_factor)
         return;
     t.moved = true;
@@ -145,26 +198,33 @@
     stop_run(o, j, t, "its server is slow");
 }
 
-/// Tells a slow server from a large job by several tasks, or by one that is
-/// far off. Gangs are left out: they go at the pace of their slowest member.
+/// Whether a task shows that its server is slow. Gangs are left out: they go
+/// at the pace of their slowest member.
+bool shows_slowness(const owner& o, const server& s, const task& t) {
+    const auto& j = o.jobs.at(t.name.job);
+    if (step_of(j, t.name).gang() || !can_be_judged(j, t))
+        return false;
+    const auto expected = expected_time(o, s, j, t);
+    return expected.whole_ms > 0 &&
+           whole_time(s, t) >= expected.whole_ms * expected.slow_factor;
+}
+
 void check_speed(owner& o, server& s, const std::vector<task*>& tasks) {
-    double first = 0;
-    double second = 0;
-    for (const auto* t : tasks) {
-        const auto& j = o.jobs.at(t->name.job);
-        if (step_of(j, t->name).gang() || !can_be_judged(j, *t))
-            continue;
-        const auto times = slowness(o, s, j, *t);
-        second = std::max(second, std::min(first, times));
-        first = std::max(first, times);
-    }
-    if (first < slow_factor && second < slow_factor / 2)
+    const auto slowest = std::ranges::find_if(
+        tasks, [&](const task* t) { return shows_slowness(o, s, *t); });
+    if (slowest == tasks.end())
         return;
     if (o.run.now() >= s.distrusted_until)
         o.run.journal.event(
             "server_is_slow",
             {{"agent", s.agent},
-             {"times_percent", static_cast<std::int64_t>(first * 100)}});
+             {"task", to_string((*slowest)->name)},
+             {"whole_ms", static_cast<std::int64_t>(whole_time(s, **slowest))},
+             {"expected_ms",
+              static_cast<std::int64_t>(
+                  expected_time(o, s, o.jobs.at((*slowest)->name.job),
+                                **slowest)
+                      .whole_ms)}});
     s.distrusted_until =
         std::max(s.distrusted_until, o.run.now() + distrust_while_slow);
     for (auto* t : tasks) {
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -501,6 +501,31 @@
     EXPECT_EQ(f.history.starts, 3);
 }
 
+// All tasks of a job are as large as it is: two of them on one server, twice
+// as long as usual, are no slow server. On a day without any slow server 167
+// tasks were moved away, and a tenth of the day's worth was thrown away.
+TEST(a_backend_server, is_not_left_by_the_tasks_of_a_large_job) {
+    virtual_fleet f;
+    for (int n = 1; n <= 6; ++n)
+        f.hand_in(job_of(id_of(n), "ms=1500", 1, small));
+    for (int n = 1; n <= 6; ++n)
+        f.wait_for(id_of(n), fleet::JOB_COMPLETED);
+    f.hand_in(job_of(id_of(11), "ms=5000", 12, small));
+    EXPECT_TRUE(f.wait_for(id_of(11), fleet::JOB_COMPLETED));
+    EXPECT_EQ(f.history.starts, 6 + 12);
+}
+
+// The tasks of one step have the same work.
+TEST(a_backend_server, that_is_slow_is_told_by_the_fellows_of_its_tasks) {
+    virtual_fleet f;
+    f.server(2).duration_percent = 500;
+    const auto before = f.world.now;
+    f.hand_in(job_of(id_of(1), "ms=3000", 6, whole_server));
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED));
+    EXPECT_LT(f.world.now - before, duration{9000});
+    EXPECT_EQ(f.history.starts, 7);
+}
+
 // A new owner took the rest of an adopted run for a whole one, and every
 // server for slow.
 TEST(a_backend_server, is_not_measured_by_runs_that_were_adopted) {
