Serve what can still be in time before what is late or worthless

Cause: waiting work went by priority and arrival alone. After an outage or a loss of power urgent jobs that could earn nothing any more went first and took room from others, and made work late that could have been in time. Change: payoff_of tells whether a job ends inside its objective, inside three times that, or later, by its declared or its queue's longest times. Worthless jobs go last, late ones after those of the same priority that can be in time; outside its guarantee only work that can be in time takes room. A gang waits for one rack as long as it would lose by being spread. Tests: a_backlog, two stories, failed before and pass.

--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -54,11 +54,19 @@
 step_run& step_run_of(job& j, const task_name& name);
 const step_run& step_run_of(const job& j, const task_name& name);
 
+/// What a job can still earn if it is started now: inside its objective, up to
+/// three times that, or nothing. Answers the time after an outage or a burst,
+/// when work that has become late would keep the room from work that can still
+/// be in time, and make that late as well.
+enum class payoff { in_full, in_part, none };
+payoff payoff_of(const owner& o, const job& j, const occurrence& at);
+
 /// Servers that can be given work, with what is free on them.
 std::vector<room> usable_rooms(const owner& o);
 
 /// Takes room from tasks of lower priority for a job inside its
 /// organisation's guarantee. Returns whether room has been reserved.
+/// Outside a guarantee, only work that can still be in time takes any.
 bool reclaim(owner& o, job& j, const occurrence& at, int step,
              const placement_request& request);
 
--- /dev/null
+++ b/modules/fleet/src/owner_order.cpp
@@ -0,0 +1,68 @@
+#include "owner_internal.hpp"
+
+#include <algorithm>
+
+namespace celerylift::fleet {
+
+namespace {
+
+/// A job that ends later than this many objectives earns nothing any more.
+constexpr int objectives_until_worthless = 3;
+
+duration declared_run(const owner&, const job& j, int step) {
+    return duration{j.submission.steps(step).estimate_ms()};
+}
+
+/// Declared times are off either way, and a job must not be given up by one
+/// that is too short.
+duration longest_run(const owner& o, const job& j, int step) {
+    const auto it = o.learned_runs.find(j.submission.queue());
+    const auto declared = declared_run(o, j, step);
+    return it == o.learned_runs.end() ? declared
+                                      : std::max(declared, it->second.longest);
+}
+
+using run_time = duration (*)(const owner&, const job&, int step);
+
+/// The longest chain of steps of a job, all of it or what is not done yet.
+duration longest_chain(const owner& o, const job& j, run_time time_of,
+                       const occurrence* left) {
+    std::vector<duration> ends;
+    for (int s = 0; s < j.submission.steps_size(); ++s) {
+        duration begin{0};
+        for (const int earlier : j.submission.steps(s).after())
+            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        const bool done =
+            left && is_done(left->steps[static_cast<std::size_t>(s)]);
+        ends.push_back(begin + (done ? duration{0} : time_of(o, j, s)));
+    }
+    return ends.empty() ? duration{0} : *std::ranges::max_element(ends);
+}
+
+/// Whether a job that is started now ends within so many objectives.
+bool ends_within(const owner& o, const job& j, const occurrence& at,
+                 const queue_config& queue, run_time time_of, int objectives) {
+    const auto objective =
+        std::chrono::duration_cast<duration>(
+            longest_chain(o, j, time_of, nullptr) * queue.stretch) +
+        queue.allowance;
+    const duration age{o.run.unix_ms() - j.submission.submitted_unix_ms()};
+    return age + longest_chain(o, j, time_of, &at) <= objective * objectives;
+}
+
+} // namespace
+
+payoff payoff_of(const owner& o, const job& j, const occurrence& at) {
+    const auto* queue = queue_of(o, j);
+    // Each time of a recurring job counts from when it is due.
+    if (!queue || j.submission.occurrences() > 0)
+        return payoff::in_full;
+    if (ends_within(o, j, at, *queue, declared_run, 1))
+        return payoff::in_full;
+    return ends_within(o, j, at, *queue, longest_run,
+                       objectives_until_worthless)
+               ? payoff::in_part
+               : payoff::none;
+}
+
+} // namespace celerylift::fleet
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -205,6 +205,8 @@
     if (priority != 0)
         return false;
     const bool guaranteed = is_guaranteed(o, j, request);
+    if (!guaranteed && payoff_of(o, j, at) != payoff::in_full)
+        return false;
     auto p = cheapest_plan(o, request, priority);
     if (!p && request.same_rack) {
         auto spread = request;
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -13,8 +13,9 @@
 constexpr duration shortest_settling_time{50};
 constexpr duration longest_settling_time{800};
 
-/// A gang waits for a whole rack about as long as it would run: spread out it
-/// would take several times as long.
+/// A gang that is spread over racks runs about three times as long. It waits
+/// for one rack as long as it would lose by that, and no longer than this.
+constexpr int spread_factor = 3;
 constexpr duration longest_rack_wait{12'000};
 
 /// Patient work leaves the emptiest rack free for this share of the time that
@@ -24,7 +25,9 @@
 
 /// Tasks of one step that wait to be placed.
 struct waiting_unit {
+    bool worthless = false;
     int priority = 0;
+    bool late = false;
     std::int64_t submitted = 0;
     std::string job;
     std::size_t occurrence = 0;
@@ -52,10 +55,13 @@
             continue;
         for (std::size_t at = 0; at < j.occurrences.size(); ++at)
             for (int s = 0; s < j.submission.steps_size(); ++s)
-                if (can_be_placed(j, j.occurrences[at], s))
-                    units.push_back({priority_of(o, j),
+                if (can_be_placed(j, j.occurrences[at], s)) {
+                    const auto earns = payoff_of(o, j, j.occurrences[at]);
+                    units.push_back({earns == payoff::none, priority_of(o, j),
+                                     earns != payoff::in_full,
                                      j.submission.submitted_unix_ms(), id, at,
                                      s});
+                }
     }
     std::ranges::sort(units);
     return units;
@@ -139,10 +145,13 @@
 }
 
 /// Relaxes a wish for one rack where it can't be met or has waited enough.
-void relax_rack(const owner& o, const std::vector<room>& rooms,
-                const std::vector<task>& tasks, placement_request& request) {
-    if (request.same_rack && (waited(o, tasks.front()) > longest_rack_wait ||
-                              !could_fit(rooms, request)))
+void relax_rack(const owner& o, const job& j, const waiting_unit& unit,
+                const std::vector<room>& rooms, const task& first,
+                placement_request& request) {
+    const auto lost = usual_run(o, j, unit.step) * (spread_factor - 1);
+    if (request.same_rack &&
+        (waited(o, first) > std::min<duration>(lost, longest_rack_wait) ||
+         !could_fit(rooms, request)))
         request.same_rack = false;
 }
 
@@ -189,7 +198,7 @@
             request.avoid.insert(t.avoid_agent);
     }
     auto rooms = usable_rooms(o);
-    relax_rack(o, rooms, tasks, request);
+    relax_rack(o, j, unit, rooms, tasks.front(), request);
     withhold_reserved(rooms, o, &unit);
     relax_avoidance(o, request);
     withhold_for_urgent(o, j, unit, tasks.front(), rooms);
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -595,6 +595,49 @@
     EXPECT_EQ(f.history.starts, 1);
 }
 
+// ---- After an outage, when more waits than fits ----
+
+// After a loss of power urgent work that could earn nothing any more was run
+// first, in the order of arrival, and made work late that could be in time.
+TEST(a_backlog, serves_what_can_be_in_time_before_what_is_late) {
+    virtual_fleet f;
+    // One gang fills the fleet; each is declared to run for a second, and is
+    // in time if it ends within 1.75 s.
+    const auto gang = [](int n) {
+        auto job = gang_of(id_of(n), "ms=1000", 6, whole_server);
+        job.mutable_steps(0)->set_same_rack(false);
+        return job;
+    };
+    for (int n = 1; n <= 3; ++n)
+        f.hand_in(gang(n), 1, "kwela-key", "/urgent/");
+    f.world.run_until([&] { return f.history.starts == 12; }, duration{2000});
+    // The third has waited for too long once the second ends.
+    f.world.run_for(duration{600});
+    f.hand_in(gang(4), 1, "kwela-key", "/urgent/");
+    const auto handed_in = f.world.now;
+    EXPECT_TRUE(f.wait_for(id_of(4), fleet::JOB_COMPLETED));
+    EXPECT_LT(f.world.now - handed_in, duration{1750});
+    EXPECT_TRUE(f.wait_for(id_of(3), fleet::JOB_COMPLETED));
+    expect_kept(f);
+}
+
+// An urgent gang of a second waited for 9 s for one rack; spread over two it
+// would have taken 3 s.
+TEST(a_backlog, spreads_a_short_gang_rather_than_wait_longer_for_a_rack) {
+    virtual_fleet f;
+    for (int n = 1; n <= 2; ++n)
+        f.hand_in(job_of(id_of(n), "ms=20000", 1, whole_server), 1, "kwela-key",
+                  "/urgent/");
+    f.hand_in(gang_of(id_of(3), "ms=20000", 2, whole_server), 1, "kwela-key",
+              "/urgent/");
+    ASSERT_TRUE(f.world.run_until([&] { return f.history.starts == 4; },
+                                  duration{1000}));
+    f.hand_in(gang_of(id_of(4), "ms=1000", 2, whole_server), 1, "kwela-key",
+              "/urgent/");
+    EXPECT_TRUE(f.wait_for(id_of(4), fleet::JOB_COMPLETED, duration{6000}));
+    expect_kept(f);
+}
+
 // ---- While the store turns single entries away ----
 
 TEST(an_entry_cut_off_from_the_store, accepts_and_shows_jobs_through_another) {
