Move work off a leaving server before it goes

Their servers were taken away at two seconds' notice, and the agents went with them; the owner kept the runs until their leases had certainly lapsed, 5.5 s later. The notice said how long the server would stay, and nobody read it. Change: heartbeats carry the remaining time to the agent and the owner, which ends what can't be done by then, half a second more allowed, so that it goes on elsewhere with what it has saved. Test: that_leaves_is_left_in_time_by_what_cannot_be_done, written with the change.

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -55,6 +55,7 @@
     std::function<void(const AgentReport&)> report;
 
     server_heartbeat server{};
+    time_point heard_at{}; // Of the last heartbeat.
     std::string incarnation{};
     bool departed = false;
     bool stopping = false;
--- a/modules/fleet/include/celerylift/fleet/backend_server.hpp
+++ b/modules/fleet/include/celerylift/fleet/backend_server.hpp
@@ -24,6 +24,9 @@
     std::vector<std::string> labels;
     resources capacity;
     bool draining = false;
+    /// While it drains: for how long at least it goes on serving; 0 where it
+    /// doesn't say.
+    duration remaining{0};
 };
 
 /// How a call to a backend server ended. `refused` means that it did nothing;
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -169,6 +169,7 @@
 bool on_heartbeat(agent& a, const server_heartbeat& heartbeat) {
     if (heartbeat.born_unix_ms < a.server.born_unix_ms)
         return false;
+    a.heard_at = a.run.now();
     if (a.incarnation != incarnation_of(heartbeat)) {
         follow_new_life(a, heartbeat);
         send_report(a);
@@ -176,9 +177,11 @@
         const bool news = heartbeat.draining != a.server.draining;
         a.server = heartbeat;
         if (news) {
-            a.run.journal.event("server_draining",
-                                {{"incarnation", a.incarnation},
-                                 {"draining", heartbeat.draining}});
+            a.run.journal.event(
+                "server_draining",
+                {{"incarnation", a.incarnation},
+                 {"draining", heartbeat.draining},
+                 {"remaining_ms", heartbeat.remaining.count()}});
             send_report(a);
         }
     }
@@ -210,6 +213,10 @@
             server->add_labels(label);
         server->set_draining(a.server.draining || a.stopping);
         server->set_departed(a.departed);
+        // A millisecond at least: it does say, and its time may be over.
+        if (a.server.draining && a.server.remaining > duration{0})
+            server->set_remaining_ms(std::max<std::int64_t>(
+                1, (a.heard_at + a.server.remaining - a.run.now()).count()));
         report.set_lists_as_of_ms(a.listed_clock_ms);
         for (const auto& r : a.running)
             *report.add_running() = r;
--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -37,6 +37,11 @@
 /// longer than a new start elsewhere.
 constexpr double worth_moving_factor = 1.5;
 constexpr int least_samples = 4;
+
+/// A leaving server goes on a little longer than it says; a task that needs no
+/// more than this beyond is left to end.
+constexpr duration overtime{500};
+
 constexpr int least_percent_to_judge = 2;
 constexpr std::int64_t least_time_to_judge_ms = 700;
 
@@ -234,6 +239,39 @@
     }
 }
 
+/// How much longer a task needs, in milliseconds.
+double time_left(const owner& o, const server& s, const job& j, const task& t) {
+    if (const auto whole = whole_time(s, t); whole > 0)
+        return whole * (100 - t.percent) / 100;
+    return static_cast<double>(usual_run(o, j, t.name.step).count());
+}
+
+/// Ends what can't be done before its server leaves, so that it goes on
+/// elsewhere at once, with what it has saved. Answers days on which servers
+/// are taken away at short notice: a run that goes down with its host and the
+/// agent there is missed only once its lease has run out.
+void evacuate(owner& o, const server& s, const std::vector<task*>& tasks) {
+    const auto remaining = s.state.remaining_ms();
+    if (!s.state.draining() || remaining == 0)
+        return;
+    for (auto* t : tasks) {
+        auto& j = o.jobs.at(t->name.job);
+        if (t->phase != task_phase::assigned || t->stopping || t->resolved)
+            continue;
+        const bool lasts = step_of(j, t->name).lasting();
+        const auto left = lasts ? 0 : time_left(o, s, j, *t);
+        if (!lasts && left <= static_cast<double>(remaining + overtime.count()))
+            continue;
+        o.run.journal.event("run_evacuated",
+                            {{"task", to_string(t->name)},
+                             {"run", t->run},
+                             {"agent", s.agent},
+                             {"left_ms", static_cast<std::int64_t>(left)},
+                             {"remaining_ms", remaining}});
+        stop_run(o, j, *t, "its server leaves before it can be done");
+    }
+}
+
 } // namespace
 
 void take_running(owner& o, server& s, const AgentReport& report) {
@@ -258,6 +296,7 @@
             can_be_judged(j, *tasks[i]))
             check_standstill(o, s, j, *tasks[i], still_ms[i]);
     check_speed(o, s, tasks);
+    evacuate(o, s, tasks);
 }
 
 } // namespace celerylift::fleet
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -456,6 +456,31 @@
                                   duration{2600}));
 }
 
+// Servers that were taken away at two seconds' notice took their agents along:
+// what ran there was missed only 5.5 s later.
+TEST(a_backend_server, that_leaves_is_left_in_time_by_what_cannot_be_done) {
+    virtual_fleet f;
+    f.hand_in(job_of(id_of(1), "ms=8000", 1, small));
+    f.hand_in(job_of(id_of(2), "ms=1500", 1, small));
+    f.world.run_until([&] { return f.history.starts == 2; }, duration{1000});
+    f.world.run_for(duration{900});
+    int leaving = 0;
+    for (int n = 1; n <= 6; ++n)
+        if (f.server(n).running_count() == 2)
+            leaving = n;
+    ASSERT_NE(leaving, 0);
+    f.server(leaving).draining = true;
+    f.server(leaving).remaining = duration{2000};
+    EXPECT_TRUE(f.world.run_until([&] { return f.history.starts == 3; },
+                                  duration{1500}));
+    EXPECT_TRUE(f.wait_for(id_of(2), fleet::JOB_COMPLETED, duration{1500}));
+    f.kill_agent(leaving);
+    f.server(leaving).crash();
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{9000}));
+    EXPECT_EQ(f.history.starts, 3);
+    expect_kept(f);
+}
+
 // A server started again under its id. Until its next heartbeat the agent
 // acknowledged ends by the count of the life before: the end of a task that
 // had been started meanwhile was forgotten, and the task run once more.
--- a/tests/fleet/virtual_server.cpp
+++ b/tests/fleet/virtual_server.cpp
@@ -121,6 +121,7 @@
     h.labels = {"a", rack_};
     h.capacity = capacity;
     h.draining = draining;
+    h.remaining = remaining;
     return h;
 }
 
--- a/tests/fleet/virtual_server.hpp
+++ b/tests/fleet/virtual_server.hpp
@@ -58,6 +58,7 @@
     call_fault fault = call_fault::none;
     bool fails_everything = false;
     bool draining = false;
+    duration remaining{0}; // While it drains.
     fleet::resources capacity{128'000, 262'144, 8};
     int duration_percent = 100;
 
