Keep room for large gangs that have waited

Change: a gang that has waited for 60% of its usual time gets the servers kept that will be free soonest, by what is left of the runs there, planned anew each 2 s. Work of a higher priority, and work that will have ended by then, may still use them. Beside the first plan at most half of the servers are kept.

--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -46,7 +46,7 @@
     time_point distrusted_until{};
 };
 
-/// Room that is kept for tasks until those that give way have ended.
+/// Room that is kept for tasks until what runs there has ended.
 struct reservation {
     std::string job;
     int occurrence = 0;
@@ -54,6 +54,8 @@
     std::vector<std::string> agents;
     resources each;
     time_point expires{};
+    int priority = 0;      // Work that goes first may still take the room.
+    time_point ready_at{}; // Work that will have ended by then may as well.
 };
 
 /// How long a task of a queue has run of late.
--- a/modules/fleet/include/celerylift/fleet/placement.hpp
+++ b/modules/fleet/include/celerylift/fleet/placement.hpp
@@ -20,6 +20,9 @@
     double trust = 1.0;
 };
 
+/// Servers below this are used only where no other has room.
+inline constexpr double least_trust = 0.5;
+
 /// Tasks that are to be placed together.
 struct placement_request {
     std::string service;
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -43,6 +43,9 @@
 /// How long a task of a job is expected to run.
 duration usual_run(const owner& o, const job& j, int step);
 
+/// How much longer a task needs, in milliseconds.
+double time_left(const owner& o, const server& s, const job& j, const task& t);
+
 void schedule(owner& o);
 void write_changes(owner& o);
 void send_orders(owner& o);
@@ -70,4 +73,12 @@
 bool reclaim(owner& o, job& j, const occurrence& at, int step,
              const placement_request& request);
 
+/// Keeps the room that will be free soonest for work that has waited for long
+/// and needs much of it at once. Answers a full fleet on which smaller work
+/// takes each bit of room as it becomes free, so that large gangs never start.
+/// Work that goes first, or that will have ended by then, may use the room.
+void reserve_ahead(owner& o, const job& j, const occurrence& at, int step,
+                   const std::vector<room>& rooms,
+                   const placement_request& request);
+
 } // namespace celerylift::fleet
--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -239,13 +239,6 @@
     }
 }
 
-/// How much longer a task needs, in milliseconds.
-double time_left(const owner& o, const server& s, const job& j, const task& t) {
-    if (const auto whole = whole_time(s, t); whole > 0)
-        return whole * (100 - t.percent) / 100;
-    return static_cast<double>(usual_run(o, j, t.name.step).count());
-}
-
 /// Ends what can't be done before its server leaves, so that it goes on
 /// elsewhere at once, with what it has saved. Answers days on which servers
 /// are taken away at short notice: a run that goes down with its host and the
@@ -274,6 +267,12 @@
 
 } // namespace
 
+double time_left(const owner& o, const server& s, const job& j, const task& t) {
+    if (const auto whole = whole_time(s, t); whole > 0)
+        return whole * (100 - t.percent) / 100;
+    return static_cast<double>(usual_run(o, j, t.name.step).count());
+}
+
 void take_running(owner& o, server& s, const AgentReport& report) {
     s.running.assign(report.running().begin(), report.running().end());
     const bool news = report.lists_as_of_ms() > s.lists_as_of_ms;
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -144,11 +144,14 @@
 candidates(const owner& o, const placement_request& request, int priority) {
     std::vector<server_plan> servers;
     auto rooms = usable_rooms(o);
-    for (const auto& r : o.reservations)
+    for (const auto& r : o.reservations) {
+        if (r.priority > priority)
+            continue;
         for (const auto& agent : r.agents)
             for (auto& at : rooms)
                 if (at.agent == agent)
                     at.free -= r.each;
+    }
     for (auto& at : rooms) {
         if (!is_eligible(at, request))
             continue;
@@ -223,8 +226,14 @@
                          {"stops", p->stops.size()},
                          {"lost_core_s", static_cast<std::int64_t>(p->cost)}});
     o.run.metrics.count("reclaims_total");
-    o.reservations.push_back({j.submission.id(), at.number, step, p->agents,
-                              request.each, o.run.now() + reservation_time});
+    o.reservations.push_back({j.submission.id(),
+                              at.number,
+                              step,
+                              p->agents,
+                              request.each,
+                              o.run.now() + reservation_time,
+                              priority,
+                              {}});
     for (const auto& name : p->stops) {
         auto& victim_job = o.jobs.at(name.job);
         stop_run(o, victim_job, *find_task(victim_job, name),
--- /dev/null
+++ b/modules/fleet/src/owner_reserve.cpp
@@ -0,0 +1,132 @@
+#include "owner_internal.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace celerylift::fleet {
+
+namespace {
+
+/// Plans are made anew after this time: what runs ends sooner or later than
+/// was expected.
+constexpr duration plan_life{2000};
+
+/// Beside the first, work that waits gets room kept while at most one server in
+/// this many is kept in all.
+constexpr std::size_t reserved_share = 2;
+
+/// How long a run that is being ended may take to be gone.
+constexpr double stopping_ms = 900;
+
+/// Room for one task of a gang, and when it will be there.
+struct slot {
+    double in_ms = 0;
+    std::string agent;
+};
+
+struct reserve_plan {
+    double ready_in_ms = 0;
+    std::vector<std::string> agents;
+};
+
+/// When each task that fits on a server, once what runs there has ended, could
+/// begin.
+void add_slots(const owner& o, const room& at, const placement_request& request,
+               std::vector<slot>& slots) {
+    const auto& s = o.servers.at(at.agent);
+    std::vector<std::pair<double, resources>> ends;
+    for (const auto& name : s.assigned) {
+        const auto& j = o.jobs.at(name.job);
+        const auto* t = find_task(j, name);
+        if (!t || t->resolved || step_of(j, name).lasting())
+            continue;
+        ends.emplace_back(t->stopping ? stopping_ms : time_left(o, s, j, *t),
+                          need_of(step_of(j, name)));
+    }
+    std::ranges::sort(ends, {}, [](const auto& end) { return end.first; });
+    auto free = at.free;
+    int here = 0;
+    const auto take = [&](double in_ms) {
+        while (fits(request.each, free) && (request.most_per_server == 0 ||
+                                            here < request.most_per_server)) {
+            free -= request.each;
+            ++here;
+            slots.push_back({in_ms, at.agent});
+        }
+    };
+    take(0);
+    for (const auto& [in_ms, frees] : ends) {
+        free += frees;
+        take(in_ms);
+    }
+}
+
+/// The soonest slots for all tasks among these servers.
+std::optional<reserve_plan> plan_among(const owner& o,
+                                       const std::vector<const room*>& rooms,
+                                       const placement_request& request) {
+    std::vector<slot> slots;
+    for (const auto* at : rooms)
+        add_slots(o, *at, request, slots);
+    const auto count = static_cast<std::size_t>(request.count);
+    if (slots.size() < count)
+        return std::nullopt;
+    std::ranges::stable_sort(slots, {}, &slot::in_ms);
+    reserve_plan plan{slots[count - 1].in_ms, {}};
+    for (std::size_t i = 0; i < count; ++i)
+        plan.agents.push_back(slots[i].agent);
+    return plan;
+}
+
+std::optional<reserve_plan> soonest_plan(const owner& o,
+                                         const std::vector<room>& rooms,
+                                         const placement_request& request) {
+    std::map<std::string, std::vector<const room*>> groups;
+    for (const auto& at : rooms)
+        if (is_eligible(at, request) && at.trust >= least_trust)
+            groups[request.same_rack ? at.rack : ""].push_back(&at);
+    std::optional<reserve_plan> best;
+    for (const auto& [rack, members] : groups) {
+        const auto plan = plan_among(o, members, request);
+        if (plan && (!best || plan->ready_in_ms < best->ready_in_ms))
+            best = plan;
+    }
+    return best;
+}
+
+std::size_t reserved_servers(const owner& o) {
+    std::set<std::string> agents;
+    for (const auto& r : o.reservations)
+        agents.insert(r.agents.begin(), r.agents.end());
+    return agents.size();
+}
+
+} // namespace
+
+void reserve_ahead(owner& o, const job& j, const occurrence& at, int step,
+                   const std::vector<room>& rooms,
+                   const placement_request& request) {
+    const auto plan = soonest_plan(o, rooms, request);
+    if (!plan)
+        return;
+    const std::set<std::string> agents(plan->agents.begin(),
+                                       plan->agents.end());
+    const auto reserved = reserved_servers(o);
+    if (reserved > 0 &&
+        (reserved + agents.size()) * reserved_share > rooms.size())
+        return;
+    o.run.journal.event(
+        "room_reserved",
+        {{"job", j.submission.id()},
+         {"step", step},
+         {"tasks", request.count},
+         {"servers", agents.size()},
+         {"ready_in_ms", static_cast<std::int64_t>(plan->ready_in_ms)}});
+    o.run.metrics.count("reservations_total");
+    const duration ready_in{static_cast<std::int64_t>(plan->ready_in_ms)};
+    o.reservations.push_back({j.submission.id(), at.number, step, plan->agents,
+                              request.each, o.run.now() + plan_life,
+                              priority_of(o, j), o.run.now() + ready_in});
+}
+
+} // namespace celerylift::fleet
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -112,12 +112,18 @@
     return request;
 }
 
-/// Keeps reserved room from everyone but the unit that it is kept for.
+bool is_for(const reservation& r, const waiting_unit& unit) {
+    return r.job == unit.job && r.step == unit.step &&
+           r.occurrence == static_cast<int>(unit.occurrence);
+}
+
+/// Keeps reserved room from all but the unit that it is kept for, those that
+/// go first, and those that will have ended before it is used.
 void withhold_reserved(std::vector<room>& rooms, const owner& o,
-                       const waiting_unit* unit) {
+                       const waiting_unit& unit) {
+    const auto end = o.run.now() + usual_run(o, o.jobs.at(unit.job), unit.step);
     for (const auto& r : o.reservations) {
-        if (unit && r.job == unit->job && r.step == unit->step &&
-            r.occurrence == static_cast<int>(unit->occurrence))
+        if (is_for(r, unit) || unit.priority < r.priority || end < r.ready_at)
             continue;
         for (const auto& agent : r.agents)
             for (auto& at : rooms)
@@ -127,17 +133,13 @@
 }
 
 void end_reservation(owner& o, const waiting_unit& unit) {
-    std::erase_if(o.reservations, [&](const reservation& r) {
-        return r.job == unit.job && r.step == unit.step &&
-               r.occurrence == static_cast<int>(unit.occurrence);
-    });
+    std::erase_if(o.reservations,
+                  [&](const reservation& r) { return is_for(r, unit); });
 }
 
 bool has_reservation(const owner& o, const waiting_unit& unit) {
-    return std::ranges::any_of(o.reservations, [&](const reservation& r) {
-        return r.job == unit.job && r.step == unit.step &&
-               r.occurrence == static_cast<int>(unit.occurrence);
-    });
+    return std::ranges::any_of(
+        o.reservations, [&](const reservation& r) { return is_for(r, unit); });
 }
 
 duration waited(const owner& o, const task& t) {
@@ -176,16 +178,34 @@
     return most == free.end() ? "" : most->first;
 }
 
+bool has_been_patient(const owner& o, const job& j, const waiting_unit& unit,
+                      const task& first) {
+    return waited(o, first) >
+           usual_run(o, j, unit.step) * patience_percent / 100;
+}
+
 /// Keeps the emptiest rack for urgent work while patient work can wait.
 void withhold_for_urgent(const owner& o, const job& j, const waiting_unit& unit,
                          const task& first, std::vector<room>& rooms) {
-    if (unit.priority == 0 ||
-        waited(o, first) > usual_run(o, j, unit.step) * patience_percent / 100)
+    if (unit.priority == 0 || has_been_patient(o, j, unit, first))
         return;
     const auto kept = emptiest_rack(rooms);
     std::erase_if(rooms, [&](const room& r) { return r.rack == kept; });
 }
 
+/// For a gang that doesn't fit now.
+void make_room(owner& o, const waiting_unit& unit, job& j,
+               const placement_request& request,
+               const std::vector<room>& rooms) {
+    const auto& at = j.occurrences[unit.occurrence];
+    const auto& first =
+        at.steps[static_cast<std::size_t>(unit.step)].tasks.front();
+    if (has_reservation(o, unit) || reclaim(o, j, at, unit.step, request))
+        return;
+    if (!unit.worthless && has_been_patient(o, j, unit, first))
+        reserve_ahead(o, j, at, unit.step, rooms, request);
+}
+
 void place_gang(owner& o, job& j, const waiting_unit& unit) {
     auto& at = j.occurrences[unit.occurrence];
     auto& tasks = at.steps[static_cast<std::size_t>(unit.step)].tasks;
@@ -199,15 +219,12 @@
     }
     auto rooms = usable_rooms(o);
     relax_rack(o, j, unit, rooms, tasks.front(), request);
-    withhold_reserved(rooms, o, &unit);
+    withhold_reserved(rooms, o, unit);
     relax_avoidance(o, request);
     withhold_for_urgent(o, j, unit, tasks.front(), rooms);
     const auto chosen = place(rooms, request);
-    if (chosen.empty()) {
-        if (!has_reservation(o, unit))
-            reclaim(o, j, at, unit.step, request);
-        return;
-    }
+    if (chosen.empty())
+        return make_room(o, unit, j, request, rooms);
     end_reservation(o, unit);
     for (std::size_t i = 0; i < tasks.size(); ++i)
         assign(o, j, tasks[i], o.servers.at(rooms[chosen[i]].agent), run + 1);
@@ -217,7 +234,7 @@
     auto& at = j.occurrences[unit.occurrence];
     auto& tasks = at.steps[static_cast<std::size_t>(unit.step)].tasks;
     auto rooms = usable_rooms(o);
-    withhold_reserved(rooms, o, &unit);
+    withhold_reserved(rooms, o, unit);
     const auto first =
         std::ranges::find(tasks, task_phase::waiting, &task::phase);
     withhold_for_urgent(o, j, unit, *first, rooms);
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Servers below this are used only where no other has room.
-constexpr double least_trust = 0.5;
-
 int already_running(const room& r, const placement_request& request) {
     int count = 0;
     for (const auto& [agent, running] : request.running)
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -646,6 +646,30 @@
     expect_kept(f);
 }
 
+// Gangs that need many whole servers never found them free at one moment, as
+// smaller work took each as it became free: four waited for more than 20 s.
+TEST(a_backlog, keeps_room_for_a_large_gang_that_has_waited) {
+    virtual_fleet f;
+    int next = 100;
+    // One server's work comes each quarter of a second, and runs 1.5 s.
+    const auto small_work = [&] {
+        f.hand_in_later(job_of(id_of(next++), "ms=1500", 1, whole_server), 1,
+                        "cwm-key", "/normal/");
+    };
+    for (int n = 0; n < 8; ++n)
+        small_work();
+    f.world.run_for(duration{300});
+    auto large = gang_of(id_of(1), "ms=1500", 5, whole_server);
+    large.mutable_steps(0)->set_same_rack(false);
+    f.hand_in(large);
+    for (int n = 0; n < 32; ++n) {
+        small_work();
+        f.world.run_for(duration{250});
+    }
+    EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{10}));
+    expect_kept(f);
+}
+
 // An urgent gang of a second waited for 9 s for one rack; spread over two it
 // would have taken 3 s.
 TEST(a_backlog, spreads_a_short_gang_rather_than_wait_longer_for_a_rack) {
