Give lost calls up as soon as the store answers again

Watches waited up to 2.2 s, so that the configuration and the owner were followed 0.4 to 1.8 s late after an outage. Change: the first answer after an outage ends all calls that were sent more than 50 ms before as unknown, and each caller tries again. While cut off, an entry looks each 0.25 s instead of 0.4 s.

--- a/modules/fleet/include/celerylift/fleet/relayed_store.hpp
+++ b/modules/fleet/include/celerylift/fleet/relayed_store.hpp
@@ -61,6 +61,12 @@
         std::function<void(const StoreReply&)> done;
     };
 
+    /// A call that this process has made itself.
+    struct direct_call {
+        time_point sent{};
+        std::function<void()> give_up;
+    };
+
     template <class Reply, class Direct, class Describe>
     void route(duration timeout, when_done<Reply> done, Direct direct,
                Describe describe);
@@ -68,6 +74,9 @@
     /// Takes note of an answer, or of none, to a call that was made directly.
     void note(store_status status, time_point sent);
     void probe();
+    /// Ends the calls that were sent during an outage that is over: they are
+    /// lost, and their callers need not wait for them.
+    void give_up_lost_calls();
     /// The entry to ask, or nothing where a call is to be made directly.
     const std::string* choose_entry();
     void relay(const std::string& entry, StoreCall call, duration timeout,
@@ -85,6 +94,7 @@
     std::map<std::string, time_point> avoided_until_;
     std::int64_t last_number_ = 0;
     std::map<std::int64_t, open_call> open_;
+    std::map<std::int64_t, direct_call> direct_open_;
     int serving_ = 0;
 };
 
--- a/modules/fleet/src/relayed_store.cpp
+++ b/modules/fleet/src/relayed_store.cpp
@@ -4,14 +4,19 @@
 #include <celerylift/fleet/store_calls.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace celerylift::fleet {
 
 namespace {
 
 /// How often an entry that is cut off looks whether the store answers again.
-constexpr duration probe_period{400};
-constexpr duration probe_timeout{300};
+constexpr duration probe_period{250};
+constexpr duration probe_timeout{240};
+
+/// A call that was sent less than this before the store answered again may
+/// just be on its way.
+constexpr duration usual_answer{50};
 
 /// Added to a call's own timeout for the way to the other entry and back.
 constexpr duration relay_allowance{30};
@@ -57,10 +62,11 @@
 void relayed_store::note(store_status status, time_point sent) {
     if (was_answered(status)) {
         answered_at_ = run_.now();
-        if (cut_off_)
-            run_.journal.event("store_direct_again", {});
-        cut_off_ = false;
-        return;
+        if (!std::exchange(cut_off_, false))
+            return;
+        run_.journal.event("store_direct_again",
+                           {{"open_calls", direct_open_.size()}});
+        return give_up_lost_calls();
     }
     // A lost reply alone tells little where other calls are answered.
     if (cut_off_ || answered_at_ > sent)
@@ -73,6 +79,19 @@
     run_.metrics.count("store_cut_off_total");
 }
 
+void relayed_store::give_up_lost_calls() {
+    std::vector<std::function<void()>> lost;
+    std::erase_if(direct_open_, [&](auto& open) {
+        if (run_.now() < open.second.sent + usual_answer)
+            return false;
+        lost.push_back(std::move(open.second.give_up));
+        return true;
+    });
+    // Each may make new calls.
+    for (const auto& give_up : lost)
+        give_up();
+}
+
 const std::string* relayed_store::choose_entry() {
     if (!cut_off_)
         return nullptr;
@@ -146,11 +165,15 @@
                          from_record(record, reply);
                          done(reply);
                      });
-    direct(
-        [this, done = std::move(done), sent = run_.now()](const Reply& reply) {
-            note(reply.status, sent);
+    const auto number = ++last_number_;
+    const auto sent = run_.now();
+    direct_open_[number] = {sent, [done] { done(Reply{}); }};
+    direct([this, done = std::move(done), number, sent](const Reply& reply) {
+        const bool waited_for = direct_open_.erase(number) > 0;
+        note(reply.status, sent);
+        if (waited_for)
             done(reply);
-        });
+    });
 }
 
 void relayed_store::transact(const store_transaction& transaction,
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -771,6 +771,30 @@
     expect_kept(f);
 }
 
+// After an outage callers, watches and the owner waited for calls that had
+// been lost in it, for 0.7 to 2.2 s.
+TEST(entries_that_are_all_cut_off, go_on_as_soon_as_the_store_answers) {
+    for (int moment = 0; moment < 1000; moment += 90) {
+        virtual_fleet f;
+        f.store.fault = store_fault::silent;
+        f.world.run_for(duration{1200 + moment});
+        f.hand_in_later(job_of(id_of(1), "ms=100", 1, small), 2, "kwela-key",
+                        "/normal/");
+        f.world.run_for(duration{1000});
+        f.configure(7);
+        f.store.fault = store_fault::none;
+        EXPECT_TRUE(f.world.run_until(
+            [&] {
+                bool all = f.state_anywhere(id_of(1)).has_value();
+                for (int n = 1; n <= 3; ++n)
+                    all = all && f.entry(n).calls().config->version == 7;
+                return all;
+            },
+            duration{450}))
+            << moment;
+    }
+}
+
 TEST(entries_that_are_all_cut_off, say_so_and_come_back) {
     virtual_fleet f;
     f.store.fault = store_fault::busy;
