Never take work that lasts for late

Cause: found while reading the order of waiting work: the payoff of a job went by its age and declared time, and work that lasts is older than that soon. Put behind all other work, it would have waited as long as there was any. Change: work that lasts, like recurring work, counts as payable in full. Test: restarts_work_that_lasts_in_its_turn failed before and passes.

--- a/modules/fleet/src/owner_order.cpp
+++ b/modules/fleet/src/owner_order.cpp
@@ -54,8 +54,10 @@
 
 payoff payoff_of(const owner& o, const job& j, const occurrence& at) {
     const auto* queue = queue_of(o, j);
-    // Each time of a recurring job counts from when it is due.
-    if (!queue || j.submission.occurrences() > 0)
+    // Each time of a recurring job counts from when it is due; work that lasts
+    // earns for as long as it runs.
+    if (!queue || j.submission.occurrences() > 0 ||
+        std::ranges::any_of(j.submission.steps(), &Step::lasting))
         return payoff::in_full;
     if (ends_within(o, j, at, *queue, declared_run, 1))
         return payoff::in_full;
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -686,6 +686,28 @@
     expect_kept(f);
 }
 
+// Work that lasts has no end that could be late; it was put behind all other
+// work once it had run for a few times its declared time.
+TEST(a_backlog, restarts_work_that_lasts_in_its_turn) {
+    virtual_fleet f;
+    auto lasting = job_of(id_of(1), "ms=600000", 1, whole_server);
+    lasting.mutable_steps(0)->set_lasting(true);
+    f.hand_in(lasting);
+    f.world.run_for(duration{10'000});
+    for (int n = 2; n <= 31; ++n)
+        f.hand_in_later(job_of(id_of(n), "ms=3000", 1, whole_server), 1,
+                        "cwm-key", "/normal/");
+    f.world.run_for(duration{200});
+    const auto task = id_of(1) + ".0.0.0";
+    ASSERT_TRUE(f.history.at_work.contains(task));
+    for (int n = 1; n <= 6; ++n)
+        f.server(n).restart();
+    f.world.run_for(duration{100});
+    ASSERT_FALSE(f.history.at_work.contains(task));
+    EXPECT_TRUE(f.world.run_until(
+        [&] { return f.history.at_work.contains(task); }, duration{2500}));
+}
+
 // An urgent gang of a second waited for 9 s for one rack; spread over two it
 // would have taken 3 s.
 TEST(a_backlog, spreads_a_short_gang_rather_than_wait_longer_for_a_rack) {
