Know a source that passed the linter by its flags in any order

Cause: a fresh clone read all sources again that had passed in the work tree: CMake lists the folders of packages in one order here and in another there. Change: stamps go by the sorted flags.

--- a/tools/lint.py
+++ b/tools/lint.py
@@ -62,8 +62,9 @@
     if not read:
         return None
     total = hashlib.sha256(settings)
-    # The place of the checkout is no matter.
-    total.update(entry["command"].replace(str(ROOT), "").encode())
+    # Neither the place of the checkout matters nor the order of the flags, in
+    # which CMake lists a package's folders now this way, now that.
+    total.update(" ".join(sorted(w.replace(str(ROOT), "") for w in words)).encode())
     for digest in sorted(digests.of(path) for path in read):
         total.update(digest.encode())
     return CACHE / total.hexdigest()
