Count a leaving server's time from its newest heartbeat

Cause: found while reading the change once more: each heartbeat, also a late one that is otherwise passed over, renewed the moment from which the remaining time of a draining server was counted, so that work was left there longer than it had. Ruled out: the sequence numbers (late heartbeats are recognised, but the moment was noted before). Change: the moment at which the server leaves is kept with the heartbeat that said so.

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -55,7 +55,7 @@
     std::function<void(const AgentReport&)> report;
 
     server_heartbeat server{};
-    time_point heard_at{}; // Of the last heartbeat.
+    time_point leaves_at{}; // At the soonest, while it drains and says so.
     std::string incarnation{};
     bool departed = false;
     bool stopping = false;
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -27,8 +27,13 @@
     return fmt::format("{}@{}", h.id, h.born_unix_ms);
 }
 
-void follow_new_life(agent& a, const server_heartbeat& heartbeat) {
+void take_heartbeat(agent& a, const server_heartbeat& heartbeat) {
     a.server = heartbeat;
+    a.leaves_at = a.run.now() + heartbeat.remaining;
+}
+
+void follow_new_life(agent& a, const server_heartbeat& heartbeat) {
+    take_heartbeat(a, heartbeat);
     a.incarnation = incarnation_of(heartbeat);
     a.departed = false;
     a.life_confirmed = false;
@@ -169,13 +174,12 @@
 bool on_heartbeat(agent& a, const server_heartbeat& heartbeat) {
     if (heartbeat.born_unix_ms < a.server.born_unix_ms)
         return false;
-    a.heard_at = a.run.now();
     if (a.incarnation != incarnation_of(heartbeat)) {
         follow_new_life(a, heartbeat);
         send_report(a);
     } else if (heartbeat.sequence > a.server.sequence) {
         const bool news = heartbeat.draining != a.server.draining;
-        a.server = heartbeat;
+        take_heartbeat(a, heartbeat);
         if (news) {
             a.run.journal.event(
                 "server_draining",
@@ -215,8 +219,8 @@
         server->set_departed(a.departed);
         // A millisecond at least: it does say, and its time may be over.
         if (a.server.draining && a.server.remaining > duration{0})
-            server->set_remaining_ms(std::max<std::int64_t>(
-                1, (a.heard_at + a.server.remaining - a.run.now()).count()));
+            server->set_remaining_ms(
+                std::max<std::int64_t>(1, (a.leaves_at - a.run.now()).count()));
         report.set_lists_as_of_ms(a.listed_clock_ms);
         for (const auto& r : a.running)
             *report.add_running() = r;
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -172,4 +172,21 @@
     EXPECT_EQ(a.report.gone_size(), 1);
 }
 
+// A heartbeat that had been held up gave a leaving server time that it no
+// longer had.
+TEST(an_agent_alone, counts_the_time_of_a_leaving_server_from_its_last_word) {
+    agent_alone a;
+    auto leaving = a.agent.server;
+    leaving.sequence = 3;
+    leaving.draining = true;
+    leaving.remaining = duration{2000};
+    fleet::on_heartbeat(a.agent, leaving);
+    a.world.run_for(duration{1500});
+    auto late = leaving;
+    late.sequence = 2;
+    fleet::on_heartbeat(a.agent, late);
+    fleet::report_now(a.agent);
+    EXPECT_EQ(a.report.server().remaining_ms(), 500);
+}
+
 } // namespace celerylift::test
