Work a step's expected time out once for each report, in one place

Change: longest_run stands beside usual_run and serves both; check_speed keeps what is expected of a step while it judges one report, as all tasks of a step on a server have the same fellows elsewhere. An entry takes itself out of its first entries once instead of in two loops, and an accessor that nothing called is gone. No behaviour is changed.

--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -54,6 +54,7 @@
     const owner& decisions() const { return owner_; }
 
 private:
+    bool is_first_entry(const std::string& address) const;
     void follow_entries();
     void take_change(const store_change& change);
     void take_entry(const store_change& change);
--- a/modules/fleet/include/celerylift/fleet/relayed_store.hpp
+++ b/modules/fleet/include/celerylift/fleet/relayed_store.hpp
@@ -29,8 +29,6 @@
     /// Addresses of the other entries.
     void set_entries(std::vector<std::string> addresses);
 
-    bool is_cut_off() const { return cut_off_; }
-
     /// The answer of another entry to a call.
     void take_reply(const StoreReply& reply);
 
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -56,12 +56,18 @@
           [this] { follow_owner(); }),
       config_mirror_(
           run, records_, settings_.config_key,
-          [this](const store_change& change) { take_config(change); }) {}
+          [this](const store_change& change) { take_config(change); }) {
+    std::erase(settings_.first_entries, settings_.self.address());
+}
+
+bool entry_node::is_first_entry(const std::string& address) const {
+    return std::ranges::find(settings_.first_entries, address) !=
+           settings_.first_entries.end();
+}
 
 void entry_node::start() {
     for (const auto& address : settings_.first_entries)
-        if (address != settings_.self.address())
-            peers_.connect(address);
+        peers_.connect(address);
     follow_entries();
     records_.start();
     cell_mirror_.start();
@@ -111,8 +117,7 @@
         if (name != settings_.self.name())
             addresses.push_back(record.address());
     for (const auto& address : settings_.first_entries)
-        if (address != settings_.self.address() &&
-            std::ranges::find(addresses, address) == addresses.end())
+        if (std::ranges::find(addresses, address) == addresses.end())
             addresses.push_back(address);
     records_.set_entries(std::move(addresses));
 }
@@ -121,9 +126,7 @@
     const auto name = change.item.key.substr(entry_prefix.size());
     const bool other = name != settings_.self.name();
     if (auto it = entries_.find(name); it != entries_.end()) {
-        if (other &&
-            std::ranges::find(settings_.first_entries, it->second.address()) ==
-                settings_.first_entries.end())
+        if (other && !is_first_entry(it->second.address()))
             peers_.disconnect(it->second.address());
         entries_.erase(it);
     }
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -43,6 +43,10 @@
 /// How long a task of a job is expected to run.
 duration usual_run(const owner& o, const job& j, int step);
 
+/// The longest that it is expected to run. Declared times are off either way,
+/// and nothing must be given up by one that is too short.
+duration longest_run(const owner& o, const job& j, int step);
+
 /// How much longer a task needs, in milliseconds.
 double time_left(const owner& o, const server& s, const job& j, const task& t);
 
--- a/modules/fleet/src/owner_order.cpp
+++ b/modules/fleet/src/owner_order.cpp
@@ -13,15 +13,6 @@
     return duration{j.submission.steps(step).estimate_ms()};
 }
 
-/// Declared times are off either way, and a job must not be given up by one
-/// that is too short.
-duration longest_run(const owner& o, const job& j, int step) {
-    const auto it = o.learned_runs.find(j.submission.queue());
-    const auto declared = declared_run(o, j, step);
-    return it == o.learned_runs.end() ? declared
-                                      : std::max(declared, it->second.longest);
-}
-
 using run_time = duration (*)(const owner&, const job&, int step);
 
 /// The longest chain of steps of a job, all of it or what is not done yet.
--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -176,18 +176,16 @@
         return {beside.total_ms / beside.timed, slow_beside_fellows};
     if (beside.there >= least_fellows || !is_learned(o, j))
         return {};
-    const auto& learned = o.learned_runs.at(j.submission.queue());
-    const duration declared{step_of(j, t.name).estimate_ms()};
-    return {static_cast<double>(std::max(learned.longest, declared).count()),
+    return {static_cast<double>(longest_run(o, j, t.name.step).count()),
             slow_beside_others};
 }
 
-void leave_slow_server(owner& o, server& s, job& j, task& t) {
+void leave_slow_server(owner& o, server& s, job& j, task& t,
+                       const expectation& expected) {
     const auto left = whole_time(s, t) * (100 - t.percent) / 100;
-    const auto expected = expected_time(o, s, j, t).whole_ms;
     const auto anew =
-        expected > 0
-            ? expected
+        expected.whole_ms > 0
+            ? expected.whole_ms
             : static_cast<double>(usual_run(o, j, t.name.step).count());
     if (t.moved || left < anew * worth_moving_factor)
         return;
@@ -203,39 +201,46 @@
     stop_run(o, j, t, "its server is slow");
 }
 
-/// Whether a task shows that its server is slow. Gangs are left out: they go
-/// at the pace of their slowest member.
-bool shows_slowness(const owner& o, const server& s, const task& t) {
-    const auto& j = o.jobs.at(t.name.job);
-    if (step_of(j, t.name).gang() || !can_be_judged(j, t))
-        return false;
-    const auto expected = expected_time(o, s, j, t);
+/// Whether a task shows that its server is slow.
+bool shows_slowness(const server& s, const task& t,
+                    const expectation& expected) {
     return expected.whole_ms > 0 &&
            whole_time(s, t) >= expected.whole_ms * expected.slow_factor;
 }
 
 void check_speed(owner& o, server& s, const std::vector<task*>& tasks) {
-    const auto slowest = std::ranges::find_if(
-        tasks, [&](const task* t) { return shows_slowness(o, s, *t); });
+    // All tasks of a step on this server have the same fellows elsewhere.
+    std::map<const step_run*, expectation> known;
+    const auto expected = [&](const task& t) -> const expectation& {
+        const auto& j = o.jobs.at(t.name.job);
+        const auto [it, added] = known.try_emplace(&step_run_of(j, t.name));
+        if (added)
+            it->second = expected_time(o, s, j, t);
+        return it->second;
+    };
+    // Gangs are left out: they go at the pace of their slowest member.
+    const auto slowest = std::ranges::find_if(tasks, [&](const task* t) {
+        const auto& j = o.jobs.at(t->name.job);
+        return !step_of(j, t->name).gang() && can_be_judged(j, *t) &&
+               shows_slowness(s, *t, expected(*t));
+    });
     if (slowest == tasks.end())
         return;
+    const auto& witness = **slowest;
     if (o.run.now() >= s.distrusted_until)
         o.run.journal.event(
             "server_is_slow",
             {{"agent", s.agent},
-             {"task", to_string((*slowest)->name)},
-             {"whole_ms", static_cast<std::int64_t>(whole_time(s, **slowest))},
+             {"task", to_string(witness.name)},
+             {"whole_ms", static_cast<std::int64_t>(whole_time(s, witness))},
              {"expected_ms",
-              static_cast<std::int64_t>(
-                  expected_time(o, s, o.jobs.at((*slowest)->name.job),
-                                **slowest)
-                      .whole_ms)}});
+              static_cast<std::int64_t>(expected(witness).whole_ms)}});
     s.distrusted_until =
         std::max(s.distrusted_until, o.run.now() + distrust_while_slow);
     for (auto* t : tasks) {
         auto& j = o.jobs.at(t->name.job);
         if (can_be_judged(j, *t))
-            leave_slow_server(o, s, j, *t);
+            leave_slow_server(o, s, j, *t, expected(*t));
     }
 }
 
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -273,6 +273,13 @@
                : duration{j.submission.steps(step).estimate_ms()};
 }
 
+duration longest_run(const owner& o, const job& j, int step) {
+    const duration declared{j.submission.steps(step).estimate_ms()};
+    const auto it = o.learned_runs.find(j.submission.queue());
+    return it != o.learned_runs.end() ? std::max(declared, it->second.longest)
+                                      : declared;
+}
+
 std::vector<room> usable_rooms(const owner& o) {
     std::vector<room> rooms;
     const auto now = o.run.now();
