Call tasks of one step siblings

Cause: "fellows" and "last word" are no terms of the field. Two tests have other names and the same assertions; a long line of a test is wrapped. No behaviour is changed.

--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -25,12 +25,12 @@
 constexpr duration distrust_after_standstill{8000};
 
 /// A server is slow if a task there takes this many times as long as its
-/// fellows on other servers. They have the same work.
-constexpr double slow_beside_fellows = 2.5;
-/// Without fellows: as long as this many of the longest runs of its queue, or
+/// siblings on other servers. They have the same work.
+constexpr double slow_beside_siblings = 2.5;
+/// Without siblings: as long as this many of the longest runs of its queue, or
 /// of its declared time. Jobs differ in size, all tasks of a job alike.
 constexpr double slow_beside_others = 2.5;
-constexpr int least_fellows = 2;
+constexpr int least_siblings = 2;
 constexpr duration distrust_while_slow{3000};
 
 /// A task leaves a slow server if what is left would take this many times
@@ -129,16 +129,16 @@
 }
 
 /// Tasks of the same step that run on other servers, or have run.
-struct fellows {
+struct siblings {
     int there = 0;
     int timed = 0;
     double total_ms = 0; // As a whole, of the timed ones.
 };
 
-fellows fellows_of(const owner& o, const job& j, const task& t) {
+siblings siblings_of(const owner& o, const job& j, const task& t) {
     const auto& step = step_run_of(j, t.name);
-    fellows found{step.timed_runs, step.timed_runs,
-                  static_cast<double>(step.total_time.count())};
+    siblings found{step.timed_runs, step.timed_runs,
+                   static_cast<double>(step.total_time.count())};
     for (const auto& other : step.tasks) {
         const auto it = o.servers.find(other.agent);
         if (other.agent == t.agent || it == o.servers.end() ||
@@ -171,10 +171,10 @@
                           const task& t) {
     if (is_away(s, j, t))
         return {};
-    const auto beside = fellows_of(o, j, t);
-    if (beside.timed >= least_fellows)
-        return {beside.total_ms / beside.timed, slow_beside_fellows};
-    if (beside.there >= least_fellows || !is_learned(o, j))
+    const auto beside = siblings_of(o, j, t);
+    if (beside.timed >= least_siblings)
+        return {beside.total_ms / beside.timed, slow_beside_siblings};
+    if (beside.there >= least_siblings || !is_learned(o, j))
         return {};
     return {static_cast<double>(longest_run(o, j, t.name.step).count()),
             slow_beside_others};
@@ -209,7 +209,7 @@
 }
 
 void check_speed(owner& o, server& s, const std::vector<task*>& tasks) {
-    // All tasks of a step on this server have the same fellows elsewhere.
+    // All tasks of a step on this server have the same siblings elsewhere.
     std::map<const step_run*, expectation> known;
     const auto expected = [&](const task& t) -> const expectation& {
         const auto& j = o.jobs.at(t.name.job);
--- a/tests/fleet/adapter_test.cpp
+++ b/tests/fleet/adapter_test.cpp
@@ -57,7 +57,8 @@
 
 TEST(a_heartbeat, is_read_with_its_rack_and_life) {
     const auto decoded = adapter::decode_heartbeat("i-1", R"({"service":"s",
-        "address":"10.0.0.1:80","state":"draining","remaining_ms":1800,"seq":9,"born":77,
+        "address":"10.0.0.1:80","state":"draining","remaining_ms":1800,
+        "seq":9,"born":77,
         "labels":["a","r1-3"],
         "capacity":{"cpu":16000,"mem_mb":32768,"gpu":8}})");
     const auto& h = std::get<fleet::server_heartbeat>(decoded);
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -174,7 +174,8 @@
 
 // A heartbeat that had been held up gave a leaving server time that it no
 // longer had.
-TEST(an_agent_alone, counts_the_time_of_a_leaving_server_from_its_last_word) {
+TEST(an_agent_alone,
+     counts_the_time_of_a_leaving_server_from_its_newest_heartbeat) {
     agent_alone a;
     auto leaving = a.agent.server;
     leaving.sequence = 3;
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -557,7 +557,7 @@
 }
 
 // The tasks of one step have the same work.
-TEST(a_backend_server, that_is_slow_is_told_by_the_fellows_of_its_tasks) {
+TEST(a_backend_server, that_is_slow_is_told_by_the_siblings_of_its_tasks) {
     virtual_fleet f;
     f.server(2).duration_percent = 500;
     const auto before = f.world.now;
