--- /dev/null
+++ b/bench/fleet_pass_bench.cpp
@@ -0,0 +1,68 @@
+// What one report costs the owner of a full fleet, with the pass over the work
+// that waits: processor time at several sizes.
+#include "lone_owner.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <vector>
+
+namespace {
+
+using namespace celerylift;
+
+constexpr int reports = 300;
+constexpr int tasks_in_gang = 13;
+constexpr fleet::resources large{52'000, 270'000, 4};
+constexpr fleet::resources small{11'000, 46'000, 1};
+
+std::string id_of(int n) {
+    return fmt::format("{:016x}", n);
+}
+
+/// Fills every server and leaves about 2,000 tasks waiting.
+void load(test::lone_owner& f, int servers, int waiting_tasks) {
+    int next = 0;
+    const int wanted = servers * 8 + waiting_tasks;
+    for (int tasks = 0; tasks < wanted; tasks += 2 * tasks_in_gang) {
+        f.add_job(id_of(next++), "normal", tasks_in_gang, small, false);
+        f.add_job(id_of(next++), "normal", tasks_in_gang, large, true);
+        f.run_for(std::chrono::milliseconds{8});
+        if (next % 20 == 0)
+            f.report_all();
+    }
+    f.run_for(std::chrono::milliseconds{300});
+    f.report_all();
+    f.run_for(std::chrono::milliseconds{300});
+}
+
+void measure(int servers, int waiting_tasks) {
+    test::lone_owner f(servers);
+    load(f, servers, waiting_tasks);
+    std::vector<double> took_us;
+    for (int n = 0; n < reports; ++n) {
+        const auto begun = std::chrono::steady_clock::now();
+        f.report(n % servers);
+        f.run_for(std::chrono::milliseconds{3});
+        const std::chrono::duration<double, std::micro> took =
+            std::chrono::steady_clock::now() - begun;
+        took_us.push_back(took.count());
+        if (n % 50 == 49)
+            f.report_all();
+    }
+    std::ranges::sort(took_us);
+    fmt::print("| {} | {} | {} | {:.0f} | {:.0f} |\n", servers,
+               f.assigned_tasks(), waiting_tasks, took_us[reports / 2],
+               took_us[reports * 99 / 100]);
+}
+
+} // namespace
+
+int main() {
+    fmt::print("| servers | running | waiting | report, us p50 | p99 |\n");
+    fmt::print("|---|---|---|---|---|\n");
+    measure(160, 200);
+    measure(160, 2000);
+    measure(1600, 2000);
+}
--- a/modules/base/include/celerylift/base/metrics.hpp
+++ b/modules/base/include/celerylift/base/metrics.hpp
@@ -26,6 +26,9 @@
     /// Records one observation, in the unit that the name ends in.
     void observe(const std::string& name, double value);
 
+    /// What a counter has come to.
+    std::uint64_t counter(const std::string& name) const;
+
     /// All values in the text format that metric collectors read.
     std::string text() const;
 
--- a/modules/base/src/metrics.cpp
+++ b/modules/base/src/metrics.cpp
@@ -15,6 +15,12 @@
     counters_[name] += by;
 }
 
+std::uint64_t metrics::counter(const std::string& name) const {
+    const std::lock_guard lock(mutex_);
+    const auto it = counters_.find(name);
+    return it == counters_.end() ? 0 : it->second;
+}
+
 void metrics::gauge(const std::string& name, double value) {
     const std::lock_guard lock(mutex_);
     gauges_[name] = value;
--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -86,8 +86,8 @@
 /// What is to be recorded of a job.
 Progress to_record(const job& j);
 
-/// Adds the occurrences whose time has come.
-void add_due_occurrences(job& j, std::int64_t unix_ms, time_point now);
+/// Adds the occurrences whose time has come. Returns whether there are any.
+bool add_due_occurrences(job& j, std::int64_t unix_ms, time_point now);
 
 bool is_over(JobState state);
 bool is_over(const task& t);
--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -27,6 +27,20 @@
     std::uint64_t version = 0;
 };
 
+/// A task that is assigned to a server, and its job. Both stay where they are
+/// for as long as the task is assigned.
+struct held_task {
+    job* of = nullptr;
+    task* what = nullptr;
+};
+
+/// What a server's tasks take of its capacity, kept until something changes.
+struct used_room {
+    bool stale = true;
+    bool known = false; // Not where a run is there that no record explains.
+    resources taken;
+};
+
 /// A backend server and the agent beside it, as the owner knows them.
 struct server {
     std::string agent;
@@ -39,7 +53,9 @@
     time_point granted_until{};
     std::vector<RunningTask> running;
     std::int64_t lists_as_of_ms = 0; // By the server's clock.
-    std::set<task_name> assigned;
+    std::map<task_name, held_task> assigned;
+    std::vector<std::string> labels;
+    used_room used;
     std::int64_t applied_up_to = 0;
     std::int64_t noted_up_to = 0;
     std::deque<applied_end> unstored_ends;
@@ -84,8 +100,14 @@
     std::vector<reservation> reservations{};
     std::map<std::string, learned_run> learned_runs{}; // By queue.
     std::set<std::string> changed_agents{};
+    /// Jobs that may have tasks to place, and jobs to be written.
+    std::set<std::string> waiting_jobs{};
+    std::set<std::string> unwritten_jobs{};
     int writes_in_flight = 0;
     time_point write_again_at{};
+
+    bool pass_wanted = false;
+    time_point next_pass_at{};
 };
 
 /// Takes the cell over, with all records up to the epoch's revision. Work is
@@ -104,7 +126,12 @@
 /// Looks for what has become due; called every tenth of a second or so.
 void on_tick(owner& o);
 
-/// Writes what has changed, and sends what that makes possible.
+/// Writes what has changed, sends what that makes possible, and asks for a
+/// pass over the work that waits.
 void finish_step(owner& o);
 
+/// Places what can be placed now. One pass serves all changes of a few
+/// milliseconds.
+void run_pass(owner& o);
+
 } // namespace celerylift::fleet
--- a/modules/fleet/include/celerylift/fleet/placement.hpp
+++ b/modules/fleet/include/celerylift/fleet/placement.hpp
@@ -2,22 +2,28 @@
 
 #include <celerylift/fleet/resources.hpp>
 
+#include <functional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace celerylift::fleet {
 
-/// A backend server as placement sees it.
+/// A backend server as placement sees it. Copied for each decision, so its
+/// texts are views of what the server's state holds.
 struct room {
-    std::string agent;
-    std::string rack;
-    std::vector<std::string> labels;
-    std::string service;
+    std::string_view agent;
+    std::string_view rack;
+    std::string_view service;
+    const std::vector<std::string>* labels = nullptr;
     resources capacity;
     resources free;
     /// Below 1 where it has lately failed, stood still or been slow.
     double trust = 1.0;
+    std::size_t rack_number = 0;
+    bool withheld = false; // From the work that is being placed.
 };
 
 /// Servers below this are used only where no other has room.
@@ -33,9 +39,10 @@
     std::string preferred_rack;
     /// At most this many on one server; 0 means any number.
     int most_per_server = 0;
-    /// How many of the same step each server runs already, by agent.
+    /// How many of the same step each server runs already, by agent. Filled
+    /// in only where most_per_server limits them.
     std::vector<std::pair<std::string, int>> running;
-    std::set<std::string> avoid;
+    std::set<std::string, std::less<>> avoid;
 };
 
 /// For each task the index of its server; empty where they don't all fit.
@@ -43,9 +50,14 @@
 
 /// Fills the tightest server first, so that whole servers and racks stay free
 /// for large gangs. Answers a fleet at half load on which small jobs would
-/// otherwise wall off every rack. Takes from `rooms` what it places.
+/// otherwise wall off every rack. Takes from `rooms` what it places. Costs one
+/// look at each server, however many tasks there are.
 placement place(std::vector<room>& rooms, const placement_request& request);
 
+/// Like place(), but places as many tasks as fit.
+placement place_up_to(std::vector<room>& rooms,
+                      const placement_request& request);
+
 /// Whether the tasks would fit if the servers were empty.
 bool could_fit(const std::vector<room>& rooms,
                const placement_request& request);
@@ -53,4 +65,7 @@
 /// Whether a server may run such tasks at all.
 bool is_eligible(const room& r, const placement_request& request);
 
+/// How many such tasks fit into some room.
+std::int64_t slots_in(const resources& free, const resources& each);
+
 } // namespace celerylift::fleet
--- a/modules/fleet/src/jobs.cpp
+++ b/modules/fleet/src/jobs.cpp
@@ -71,16 +71,18 @@
     return j;
 }
 
-void add_due_occurrences(job& j, std::int64_t unix_ms, time_point now) {
+bool add_due_occurrences(job& j, std::int64_t unix_ms, time_point now) {
     const auto& s = j.submission;
     if (!is_recurring(s) || is_over(j.state))
-        return;
+        return false;
+    const auto before = j.occurrences.size();
     int next = j.occurrences.empty() ? 0 : j.occurrences.back().number + 1;
     for (; next < s.occurrences(); ++next) {
         if (unix_ms < s.first_start_unix_ms() + next * s.interval_ms())
-            return;
+            break;
         j.occurrences.push_back(make_occurrence(s, next, now));
     }
+    return j.occurrences.size() > before;
 }
 
 void restore(job& j, const Progress& progress, std::int64_t revision,
@@ -107,6 +109,7 @@
         t->agent = record.agent();
         t->incarnation = record.incarnation();
         t->checkpoint = record.checkpoint();
+        t->avoid_agent = record.avoid_agent();
         t->assigned_at = now;
     }
 }
@@ -129,6 +132,7 @@
                 out->set_run(t.run);
                 out->set_failures(t.failures);
                 out->set_checkpoint(t.checkpoint);
+                out->set_avoid_agent(t.avoid_agent);
                 if (t.phase != task_phase::assigned)
                     continue;
                 out->set_agent(t.agent);
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace celerylift::fleet {
 
@@ -15,6 +16,13 @@
 
 constexpr duration reserve_for_clocks{300};
 
+/// Changes of this time are decided together.
+constexpr duration gathering_time{2};
+
+/// Between two passes the owner does other work for this many times as long
+/// as a pass takes: whatever waits, leases of running work are extended.
+constexpr int pause_per_pass = 3;
+
 bool is_of_current_life(const server& s, const task& t) {
     return t.incarnation == s.state.incarnation();
 }
@@ -73,16 +81,18 @@
         s.noted_up_to = 0;
         s.unstored_ends.clear();
         s.running.clear();
+        s.used.stale = true;
         s.lists_as_of_ms = 0;
         s.distrusted_until = {};
     }
     s.state = state;
-    const auto names = s.assigned;
-    for (const auto& name : names) {
-        auto* t = find_task(o.jobs.at(name.job), name);
-        if (t && t->agent == s.agent && t->phase == task_phase::assigned &&
-            !t->resolved && (!is_of_current_life(s, *t) || state.departed()))
-            follow_restart(o, report, *t);
+    s.labels.assign(state.labels().begin(), state.labels().end());
+    const auto held = s.assigned;
+    for (const auto& [name, h] : held) {
+        auto& t = *h.what;
+        if (t.agent == s.agent && t.phase == task_phase::assigned &&
+            !t.resolved && (!is_of_current_life(s, t) || state.departed()))
+            follow_restart(o, report, t);
     }
 }
 
@@ -95,6 +105,16 @@
     }
 }
 
+/// Whether no run of a job can be at work any more.
+bool is_at_rest(const job& j) {
+    for (const auto& at : j.occurrences)
+        for (const auto& s : at.steps)
+            for (const auto& t : s.tasks)
+                if (t.phase == task_phase::assigned)
+                    return false;
+    return true;
+}
+
 void remove_old_jobs(owner& o) {
     const auto oldest = o.run.unix_ms() - ended_job_life_ms;
     store_transaction write;
@@ -102,20 +122,18 @@
     for (auto it = o.jobs.begin(); it != o.jobs.end();) {
         const auto& id = it->first;
         const auto& j = it->second;
-        const bool at_rest = std::ranges::all_of(o.servers, [&](const auto& s) {
-            return std::ranges::none_of(
-                s.second.assigned,
-                [&](const task_name& n) { return n.job == id; });
-        });
-        if (!is_over(j.state) || j.ended_unix_ms > oldest || !at_rest ||
+        if (!is_over(j.state) || j.ended_unix_ms > oldest ||
             j.stored_version != j.version || j.write_in_flight ||
-            write.removals.size() + 4 > most_transaction_entries) {
+            write.removals.size() + 4 > most_transaction_entries ||
+            !is_at_rest(j)) {
             ++it;
             continue;
         }
         for (const auto part :
              {job_part::submission, job_part::cancellation, job_part::progress})
             write.removals.push_back(job_key(id, part));
+        o.waiting_jobs.erase(id);
+        o.unwritten_jobs.erase(id);
         it = o.jobs.erase(it);
     }
     if (!write.removals.empty())
@@ -140,14 +158,21 @@
     return from + agent_grant * 103 / 100 + reserve_for_clocks;
 }
 
+void clear_state(owner& o) {
+    o.servers.clear();
+    o.jobs.clear();
+    o.reservations.clear();
+    o.changed_agents.clear();
+    o.waiting_jobs.clear();
+    o.unwritten_jobs.clear();
+}
+
 void activate(owner& o, std::int64_t epoch, const directory& d,
               const std::set<std::string>& expected_agents) {
     o.epoch = epoch;
     o.expected_agents = expected_agents;
     o.active_since = o.run.now();
-    o.jobs.clear();
-    o.servers.clear();
-    o.reservations.clear();
+    clear_state(o);
     for (const auto& [id, stored] : d.jobs)
         on_job_changed(o, stored);
     int assigned = 0;
@@ -160,7 +185,7 @@
                     ++assigned;
                     auto& holder = o.servers[t.agent];
                     holder.agent = t.agent;
-                    holder.assigned.insert(t.name);
+                    holder.assigned[t.name] = {&j, &t};
                     // The former owner may have granted until just now.
                     holder.granted_until = end_of_grant(o.active_since);
                 }
@@ -172,10 +197,7 @@
 
 void deactivate(owner& o) {
     o.epoch = 0;
-    o.jobs.clear();
-    o.servers.clear();
-    o.reservations.clear();
-    o.changed_agents.clear();
+    clear_state(o);
 }
 
 void on_config(owner& o, std::shared_ptr<const fleet_config> config) {
@@ -211,22 +233,42 @@
 void on_tick(owner& o) {
     if (o.epoch == 0)
         return;
-    for (auto& [id, j] : o.jobs) {
-        add_due_occurrences(j, o.run.unix_ms(), o.run.now());
-    }
+    for (auto& [id, j] : o.jobs)
+        if (add_due_occurrences(j, o.run.unix_ms(), o.run.now()))
+            o.waiting_jobs.insert(id);
     drop_silent_servers(o);
     if (o.is_valid())
         remove_old_jobs(o);
     finish_step(o);
 }
 
-void finish_step(owner& o) {
+void run_pass(owner& o) {
     if (o.epoch == 0)
         return;
+    const auto begun = o.run.now();
     if (o.is_valid())
         schedule(o);
+    const auto took = o.run.now() - begun;
+    o.run.metrics.count("schedule_passes_total");
+    o.next_pass_at = o.run.now() + took * pause_per_pass;
+    o.run.metrics.observe("schedule_pass_ms",
+                          static_cast<double>(took.count()));
+    write_changes(o);
+    send_orders(o);
+}
+
+void finish_step(owner& o) {
+    if (o.epoch == 0)
+        return;
     write_changes(o);
     send_orders(o);
+    if (std::exchange(o.pass_wanted, true))
+        return;
+    o.run.timers.once(std::max(o.run.now() + gathering_time, o.next_pass_at),
+                      [&o](time_point) {
+                          o.pass_wanted = false;
+                          run_pass(o);
+                      });
 }
 
 } // namespace celerylift::fleet
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -2,7 +2,11 @@
 
 #include <celerylift/fleet/owner.hpp>
 
+#include <map>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace celerylift::fleet {
@@ -19,7 +23,13 @@
 time_point end_of_grant(time_point from);
 
 /// Marks a job as changed, so that it is written.
-void touch(job& j);
+void touch(owner& o, job& j);
+
+/// What runs on a server has changed.
+void mark_room(owner& o, const std::string& agent);
+
+/// Forgets all that was known under the last epoch.
+void clear_state(owner& o);
 
 /// Applies one end of a run. A stale one changes nothing.
 void apply_end(owner& o, server& s, const EndedTask& end);
@@ -68,21 +78,65 @@
 enum class payoff { in_full, in_part, none };
 payoff payoff_of(const owner& o, const job& j, const occurrence& at);
 
+/// A request that found no room. No larger one of its kind finds any in the
+/// same pass: room only shrinks while work is placed.
+struct failed_request {
+    std::string queue;
+    bool patient = false;
+    placement_request request;
+};
+
+/// A task that could give way, and what its stop throws away.
+struct victim {
+    task_name name;
+    resources frees;
+    double lost_core_seconds = 0;
+};
+
+/// One pass over the work that waits. What it looks at is gathered once, so
+/// that its cost follows what is waiting, and not that times the fleet.
+struct schedule_pass {
+    std::vector<room> rooms;
+    std::vector<server*> servers; // Of each room.
+    std::unordered_map<std::string_view, std::size_t> index;
+    std::vector<failed_request> failed;
+    std::vector<placement_request> unreclaimed;
+    /// By room: what could give way to the most urgent work, the cheapest
+    /// first, and what is stopping already. Empty until it is asked for.
+    std::vector<std::vector<victim>> victims;
+    std::vector<resources> soon_free;
+    /// Accelerators that urgent work uses, by organisation.
+    std::optional<std::map<std::string, std::int64_t>> urgent_use;
+    /// How many more plans may be made to keep room. What has none by then
+    /// waits for another pass.
+    int plans_left = 8;
+};
+
 /// Servers that can be given work, with what is free on them.
-std::vector<room> usable_rooms(const owner& o);
+schedule_pass begin_pass(owner& o);
 
 /// Takes room from tasks of lower priority for a job inside its
 /// organisation's guarantee. Returns whether room has been reserved.
 /// Outside a guarantee, only work that can still be in time takes any.
-bool reclaim(owner& o, job& j, const occurrence& at, int step,
+bool reclaim(owner& o, schedule_pass& p, job& j, const occurrence& at, int step,
              const placement_request& request);
 
 /// Keeps the room that will be free soonest for work that has waited for long
 /// and needs much of it at once. Answers a full fleet on which smaller work
 /// takes each bit of room as it becomes free, so that large gangs never start.
 /// Work that goes first, or that will have ended by then, may use the room.
-void reserve_ahead(owner& o, const job& j, const occurrence& at, int step,
+void reserve_ahead(owner& o, schedule_pass& p, const job& j,
+                   const occurrence& at, int step,
                    const std::vector<room>& rooms,
                    const placement_request& request);
 
+/// Takes the room of a reservation away from `rooms`.
+void withhold(const schedule_pass& p, const reservation& r,
+              std::vector<room>& rooms);
+
+/// Whether one request asks for at least as much as another, and is bound in
+/// the same way, so that it can't be met where the other can't.
+bool asks_for_more(const placement_request& more,
+                   const placement_request& less);
+
 } // namespace celerylift::fleet
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -24,8 +24,10 @@
 }
 
 void release(owner& o, task& t) {
-    if (auto it = o.servers.find(t.agent); it != o.servers.end())
+    if (auto it = o.servers.find(t.agent); it != o.servers.end()) {
         it->second.assigned.erase(t.name);
+        it->second.used.stale = true;
+    }
     o.changed_agents.insert(t.agent);
     t.agent.clear();
     t.incarnation.clear();
@@ -39,6 +41,7 @@
     t.phase = task_phase::waiting;
     t.resolved = false;
     t.waiting_since = o.run.now();
+    o.waiting_jobs.insert(t.name.job);
 }
 
 /// Once no member of a gang's run can be at work, the gang waits again.
@@ -64,6 +67,7 @@
 /// One member of a gang has ended other than done.
 void resolve_member(owner& o, job& j, task& t, const char* why) {
     t.resolved = true;
+    mark_room(o, t.agent);
     auto& s = step_run_of(j, t.name);
     for (auto& other : s.tasks)
         if (other.phase == task_phase::assigned && !other.resolved &&
@@ -115,6 +119,7 @@
     release(o, t);
     t.phase = task_phase::done;
     t.done_run = run;
+    o.waiting_jobs.insert(t.name.job); // For the steps behind it.
 }
 
 void end_done(owner& o, server& s, job& j, task& t, int run) {
@@ -173,8 +178,14 @@
 
 } // namespace
 
-void touch(job& j) {
+void touch(owner& o, job& j) {
     ++j.version;
+    o.unwritten_jobs.insert(j.submission.id());
+}
+
+void mark_room(owner& o, const std::string& agent) {
+    if (auto it = o.servers.find(agent); it != o.servers.end())
+        it->second.used.stale = true;
 }
 
 const queue_config* queue_of(const owner& o, const job& j) {
@@ -227,7 +238,7 @@
         end_done(o, s, j, *t, end.name().run());
     else
         end_otherwise(o, s, j, *t, end.how());
-    touch(j);
+    touch(o, j);
     update_state(o, j);
     s.unstored_ends.push_back({end.number(), j.submission.id(), j.version});
 }
@@ -243,17 +254,17 @@
         resolve_member(o, j, t, why);
     else
         wait_again(o, t);
-    touch(j);
+    touch(o, j);
     update_state(o, j);
 }
 
 void lose_server(owner& o, server& s, const char* why) {
-    const auto names = s.assigned;
-    for (const auto& name : names) {
-        auto* t = find_task(o.jobs.at(name.job), name);
-        if (t && t->phase == task_phase::assigned && t->agent == s.agent &&
-            !t->resolved)
-            lose_run(o, *t, why);
+    const auto held = s.assigned;
+    for (const auto& [name, h] : held) {
+        auto& t = *h.what;
+        if (t.phase == task_phase::assigned && t.agent == s.agent &&
+            !t.resolved)
+            lose_run(o, t, why);
     }
 }
 
@@ -286,7 +297,7 @@
         return;
     j.state = JOB_COMPLETED;
     j.ended_unix_ms = o.run.unix_ms();
-    touch(j);
+    touch(o, j);
     o.run.journal.event("job_completed", {{"job", j.submission.id()}});
     o.run.metrics.count("jobs_completed_total");
 }
@@ -301,6 +312,8 @@
         j = make_job(*stored.submission, o.run.now());
         if (stored.progress)
             restore(j, *stored.progress, stored.progress_revision, o.run.now());
+        if (!is_over(j.state))
+            o.waiting_jobs.insert(id);
     }
     if (!stored.cancelled || j.cancelled)
         return;
@@ -309,7 +322,7 @@
         return;
     j.state = JOB_CANCELLED;
     j.ended_unix_ms = o.run.unix_ms();
-    touch(j);
+    touch(o, j);
     o.run.journal.event("job_cancelled", {{"job", id}});
     stop_all_runs(o, j, "the job was cancelled");
 }
--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -53,7 +53,7 @@
     if (o.run.now() < j.checkpoints_stored_at + checkpoint_period)
         return;
     j.checkpoints_stored_at = o.run.now();
-    touch(j);
+    touch(o, j);
 }
 
 task* find_assigned(owner& o, const server& s, const RunName& run) {
@@ -280,6 +280,7 @@
 
 void take_running(owner& o, server& s, const AgentReport& report) {
     s.running.assign(report.running().begin(), report.running().end());
+    s.used.stale = true;
     const bool news = report.lists_as_of_ms() > s.lists_as_of_ms;
     s.lists_as_of_ms = report.lists_as_of_ms();
     std::vector<task*> tasks;
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -18,13 +18,6 @@
 /// what one urgent job is worth, by the platform's price of lost work.
 constexpr double most_lost_core_seconds = 600.0;
 
-/// A task that could give way, and what its stop throws away.
-struct victim {
-    task_name name;
-    resources frees;
-    double lost_core_seconds = 0;
-};
-
 double cores_of(const resources& r) {
     return static_cast<double>(r.millicores) / 1000.0 +
            cores_per_accelerator * static_cast<double>(r.accelerators);
@@ -50,32 +43,41 @@
     return cost;
 }
 
-/// What could give way on a server, the cheapest first.
-std::vector<victim> victims_on(const owner& o, const std::string& agent,
-                               int priority) {
-    std::vector<victim> victims;
-    for (const auto& name : o.servers.at(agent).assigned) {
-        const auto& j = o.jobs.at(name.job);
-        const auto* t = find_task(j, name);
-        if (!t || t->resolved || t->stopping || priority_of(o, j) <= priority)
-            continue;
-        victims.push_back(
-            {name, need_of(step_of(j, name)), cost_of_stop(o, j, *t)});
-    }
-    std::ranges::sort(victims, {}, &victim::lost_core_seconds);
-    return victims;
+/// What each run that could give way throws away, by its step: the members of
+/// a gang end together.
+using step_costs = std::map<const step_run*, double>;
+
+double known_cost(const owner& o, const job& j, const task& t,
+                  step_costs& gangs) {
+    if (!step_of(j, t.name).gang())
+        return unsaved_work(o, j, t);
+    const auto [it, added] = gangs.try_emplace(&step_run_of(j, t.name));
+    if (added)
+        it->second = cost_of_stop(o, j, t);
+    return it->second;
 }
 
-/// What is stopping already on a server, and so will be free soon.
-resources soon_free(const owner& o, const std::string& agent) {
-    resources sum;
-    for (const auto& name : o.servers.at(agent).assigned) {
-        const auto& j = o.jobs.at(name.job);
-        const auto* t = find_task(j, name);
-        if (t && t->stopping && !t->resolved)
-            sum += need_of(step_of(j, name));
+/// Gathers what could give way to urgent work, once a pass.
+void gather_victims(const owner& o, schedule_pass& p, int priority) {
+    if (!p.victims.empty())
+        return;
+    p.victims.resize(p.rooms.size());
+    p.soon_free.assign(p.rooms.size(), {});
+    step_costs gangs;
+    for (std::size_t i = 0; i < p.servers.size(); ++i) {
+        for (const auto& [name, held] : p.servers[i]->assigned) {
+            const auto& t = *held.what;
+            const auto need = need_of(step_of(*held.of, name));
+            if (t.resolved)
+                continue;
+            if (t.stopping)
+                p.soon_free[i] += need;
+            else if (priority_of(o, *held.of) > priority)
+                p.victims[i].push_back(
+                    {name, need, known_cost(o, *held.of, t, gangs)});
+        }
+        std::ranges::sort(p.victims[i], {}, &victim::lost_core_seconds);
     }
-    return sum;
 }
 
 struct server_plan {
@@ -107,8 +109,8 @@
 std::optional<plan> plan_among(std::vector<server_plan> servers,
                                const placement_request& request) {
     plan p;
-    std::map<std::string, int> placed(request.running.begin(),
-                                      request.running.end());
+    std::map<std::string_view, int> placed(request.running.begin(),
+                                           request.running.end());
     for (int n = 0; n < request.count; ++n) {
         server_plan* best = nullptr;
         std::pair<std::size_t, double> best_need{
@@ -134,88 +136,108 @@
                                 static_cast<std::ptrdiff_t>(best_need.first));
         best->at.free -= request.each;
         ++placed[best->at.agent];
-        p.agents.push_back(best->at.agent);
+        p.agents.emplace_back(best->at.agent);
         p.cost += best_need.second;
     }
     return p;
 }
 
-std::vector<server_plan>
-candidates(const owner& o, const placement_request& request, int priority) {
+std::vector<server_plan> candidates(const owner& o, schedule_pass& p,
+                                    const placement_request& request,
+                                    int priority) {
+    gather_victims(o, p, priority);
+    auto rooms = p.rooms;
+    for (const auto& r : o.reservations)
+        if (r.priority <= priority)
+            withhold(p, r, rooms);
     std::vector<server_plan> servers;
-    auto rooms = usable_rooms(o);
-    for (const auto& r : o.reservations) {
-        if (r.priority > priority)
-            continue;
-        for (const auto& agent : r.agents)
-            for (auto& at : rooms)
-                if (at.agent == agent)
-                    at.free -= r.each;
-    }
-    for (auto& at : rooms) {
-        if (!is_eligible(at, request))
+    for (std::size_t i = 0; i < rooms.size(); ++i) {
+        if (!is_eligible(rooms[i], request))
             continue;
-        at.free += soon_free(o, at.agent);
-        servers.push_back({at, victims_on(o, at.agent, priority)});
+        rooms[i].free += p.soon_free[i];
+        servers.push_back({rooms[i], p.victims[i]});
     }
     return servers;
 }
 
-std::optional<plan>
-cheapest_plan(const owner& o, const placement_request& request, int priority) {
-    const auto servers = candidates(o, request, priority);
+std::optional<plan> cheapest_plan(const owner& o, schedule_pass& p,
+                                  const placement_request& request,
+                                  int priority) {
+    const auto servers = candidates(o, p, request, priority);
     if (!request.same_rack)
         return plan_among(servers, request);
-    std::map<std::string, std::vector<server_plan>> racks;
+    std::map<std::size_t, std::vector<server_plan>> racks;
     for (const auto& s : servers)
-        racks[s.at.rack].push_back(s);
+        racks[s.at.rack_number].push_back(s);
     std::optional<plan> best;
     for (const auto& [rack, members] : racks) {
-        const auto p = plan_among(members, request);
-        if (p && (!best || p->cost < best->cost))
-            best = p;
+        const auto found = plan_among(members, request);
+        if (found && (!best || found->cost < best->cost))
+            best = found;
     }
     return best;
 }
 
+/// Accelerators that urgent work holds, by organisation.
+std::map<std::string, std::int64_t> count_urgent_use(const owner& o) {
+    std::map<std::string, std::int64_t> used;
+    for (const auto& [agent, s] : o.servers)
+        for (const auto& [name, held] : s.assigned)
+            if (!held.what->resolved && priority_of(o, *held.of) == 0)
+                used[held.of->submission.organisation()] +=
+                    need_of(step_of(*held.of, name)).accelerators;
+    return used;
+}
+
 /// Whether an organisation's urgent work, with this step, stays inside what
 /// it is guaranteed.
-bool is_guaranteed(const owner& o, const job& j,
+bool is_guaranteed(const owner& o, schedule_pass& p, const job& j,
                    const placement_request& request) {
-    const auto* organisation =
-        find_organisation(*o.config, j.submission.organisation());
+    const auto& name = j.submission.organisation();
+    const auto* organisation = find_organisation(*o.config, name);
     if (!organisation)
         return false;
-    std::int64_t used = request.each.accelerators * request.count;
-    for (const auto& [id, other] : o.jobs) {
-        if (other.submission.organisation() != j.submission.organisation() ||
-            priority_of(o, other) != 0)
-            continue;
-        for (const auto& at : other.occurrences)
-            for (const auto& s : at.steps)
-                for (const auto& t : s.tasks)
-                    if (t.phase == task_phase::assigned && !t.resolved)
-                        used += need_of(step_of(other, t.name)).accelerators;
-    }
-    return used <= organisation->guaranteed_accelerators;
+    if (!p.urgent_use)
+        p.urgent_use = count_urgent_use(o);
+    const auto it = p.urgent_use->find(name);
+    const auto used = it == p.urgent_use->end() ? 0 : it->second;
+    return used + request.each.accelerators * request.count <=
+           organisation->guaranteed_accelerators;
+}
+
+/// The same pass has shown that no plan makes room for as much, or for less.
+bool is_known_to_fail(const schedule_pass& p,
+                      const placement_request& request) {
+    return std::ranges::any_of(p.unreclaimed, [&](const auto& earlier) {
+        return asks_for_more(request, earlier);
+    });
+}
+
+std::optional<plan> find_plan(const owner& o, schedule_pass& p,
+                              const placement_request& request, int priority) {
+    auto found = cheapest_plan(o, p, request, priority);
+    if (found || !request.same_rack)
+        return found;
+    auto spread = request;
+    spread.same_rack = false;
+    return cheapest_plan(o, p, spread, priority);
 }
 
 } // namespace
 
-bool reclaim(owner& o, job& j, const occurrence& at, int step,
-             const placement_request& request) {
+bool reclaim(owner& o, schedule_pass& pass, job& j, const occurrence& at,
+             int step, const placement_request& request) {
     const int priority = priority_of(o, j);
     if (priority != 0)
         return false;
-    const bool guaranteed = is_guaranteed(o, j, request);
+    const bool guaranteed = is_guaranteed(o, pass, j, request);
     if (!guaranteed && payoff_of(o, j, at) != payoff::in_full)
         return false;
-    auto p = cheapest_plan(o, request, priority);
-    if (!p && request.same_rack) {
-        auto spread = request;
-        spread.same_rack = false;
-        p = cheapest_plan(o, spread, priority);
-    }
+    if (is_known_to_fail(pass, request))
+        return false;
+    const auto p = find_plan(o, pass, request, priority);
+    if (!p)
+        pass.unreclaimed.push_back(request);
     if (!p || (!guaranteed && p->cost > most_lost_core_seconds))
         return false;
     o.run.journal.event("room_reclaimed",
@@ -234,6 +256,7 @@
                               o.run.now() + reservation_time,
                               priority,
                               {}});
+    pass.victims.clear();
     for (const auto& name : p->stops) {
         auto& victim_job = o.jobs.at(name.job);
         stop_run(o, victim_job, *find_task(victim_job, name),
--- a/modules/fleet/src/owner_reserve.cpp
+++ b/modules/fleet/src/owner_reserve.cpp
@@ -31,27 +31,27 @@
 
 /// When each task that fits on a server, once what runs there has ended, could
 /// begin.
-void add_slots(const owner& o, const room& at, const placement_request& request,
-               std::vector<slot>& slots) {
-    const auto& s = o.servers.at(at.agent);
+void add_slots(const owner& o, const server& s, const room& at,
+               const placement_request& request, std::vector<slot>& slots) {
     std::vector<std::pair<double, resources>> ends;
-    for (const auto& name : s.assigned) {
-        const auto& j = o.jobs.at(name.job);
-        const auto* t = find_task(j, name);
-        if (!t || t->resolved || step_of(j, name).lasting())
+    for (const auto& [name, held] : s.assigned) {
+        const auto& t = *held.what;
+        if (t.resolved || step_of(*held.of, name).lasting())
             continue;
-        ends.emplace_back(t->stopping ? stopping_ms : time_left(o, s, j, *t),
-                          need_of(step_of(j, name)));
+        ends.emplace_back(t.stopping ? stopping_ms
+                                     : time_left(o, s, *held.of, t),
+                          need_of(step_of(*held.of, name)));
     }
     std::ranges::sort(ends, {}, [](const auto& end) { return end.first; });
     auto free = at.free;
     int here = 0;
     const auto take = [&](double in_ms) {
-        while (fits(request.each, free) && (request.most_per_server == 0 ||
-                                            here < request.most_per_server)) {
+        while (
+            fits(request.each, free) && here < request.count &&
+            (request.most_per_server == 0 || here < request.most_per_server)) {
             free -= request.each;
             ++here;
-            slots.push_back({in_ms, at.agent});
+            slots.push_back({in_ms, s.agent});
         }
     };
     take(0);
@@ -62,12 +62,13 @@
 }
 
 /// The soonest slots for all tasks among these servers.
-std::optional<reserve_plan> plan_among(const owner& o,
-                                       const std::vector<const room*>& rooms,
+std::optional<reserve_plan> plan_among(const owner& o, const schedule_pass& p,
+                                       const std::vector<room>& rooms,
+                                       const std::vector<std::size_t>& among,
                                        const placement_request& request) {
     std::vector<slot> slots;
-    for (const auto* at : rooms)
-        add_slots(o, *at, request, slots);
+    for (const auto i : among)
+        add_slots(o, *p.servers[i], rooms[i], request, slots);
     const auto count = static_cast<std::size_t>(request.count);
     if (slots.size() < count)
         return std::nullopt;
@@ -78,16 +79,17 @@
     return plan;
 }
 
-std::optional<reserve_plan> soonest_plan(const owner& o,
+std::optional<reserve_plan> soonest_plan(const owner& o, const schedule_pass& p,
                                          const std::vector<room>& rooms,
                                          const placement_request& request) {
-    std::map<std::string, std::vector<const room*>> groups;
-    for (const auto& at : rooms)
-        if (is_eligible(at, request) && at.trust >= least_trust)
-            groups[request.same_rack ? at.rack : ""].push_back(&at);
+    std::map<std::size_t, std::vector<std::size_t>> groups;
+    for (std::size_t i = 0; i < rooms.size(); ++i)
+        if (!rooms[i].withheld && is_eligible(rooms[i], request) &&
+            rooms[i].trust >= least_trust)
+            groups[request.same_rack ? rooms[i].rack_number : 0].push_back(i);
     std::optional<reserve_plan> best;
     for (const auto& [rack, members] : groups) {
-        const auto plan = plan_among(o, members, request);
+        const auto plan = plan_among(o, p, rooms, members, request);
         if (plan && (!best || plan->ready_in_ms < best->ready_in_ms))
             best = plan;
     }
@@ -103,18 +105,23 @@
 
 } // namespace
 
-void reserve_ahead(owner& o, const job& j, const occurrence& at, int step,
+void reserve_ahead(owner& o, schedule_pass& p, const job& j,
+                   const occurrence& at, int step,
                    const std::vector<room>& rooms,
                    const placement_request& request) {
-    const auto plan = soonest_plan(o, rooms, request);
+    --p.plans_left;
+    const auto plan = soonest_plan(o, p, rooms, request);
     if (!plan)
         return;
     const std::set<std::string> agents(plan->agents.begin(),
                                        plan->agents.end());
     const auto reserved = reserved_servers(o);
     if (reserved > 0 &&
-        (reserved + agents.size()) * reserved_share > rooms.size())
+        (reserved + agents.size()) * reserved_share > rooms.size()) {
+        // Whoever comes behind waits as well, also if it needs less.
+        p.plans_left = 0;
         return;
+    }
     o.run.journal.event(
         "room_reserved",
         {{"job", j.submission.id()},
--- /dev/null
+++ b/modules/fleet/src/owner_rooms.cpp
@@ -0,0 +1,88 @@
+#include "owner_internal.hpp"
+
+#include <algorithm>
+
+namespace celerylift::fleet {
+
+namespace {
+
+/// What runs on a server against the record takes room as well. Returns
+/// whether all of it is known.
+bool add_unrecorded(const owner& o, const server& s, resources& taken) {
+    for (const auto& running : s.running) {
+        const auto name = parse_task_name(running.name().task());
+        const auto it = name ? o.jobs.find(name->job) : o.jobs.end();
+        if (it == o.jobs.end() ||
+            name->step >= it->second.submission.steps_size())
+            return false;
+        const auto held = s.assigned.find(*name);
+        if (held == s.assigned.end() || held->second.what->resolved)
+            taken += need_of(step_of(it->second, *name));
+    }
+    return true;
+}
+
+void refresh(const owner& o, server& s) {
+    if (!s.used.stale)
+        return;
+    s.used.stale = false;
+    o.run.metrics.count("rooms_refreshed_total");
+    s.used.taken = {};
+    for (const auto& [name, held] : s.assigned)
+        if (!held.what->resolved)
+            s.used.taken += need_of(step_of(*held.of, name));
+    s.used.known = add_unrecorded(o, s, s.used.taken);
+}
+
+bool is_usable(const server& s, time_point now) {
+    return s.heard && !s.state.incarnation().empty() && !s.state.draining() &&
+           !s.state.departed() && now <= s.heard_at + usable_silence;
+}
+
+} // namespace
+
+schedule_pass begin_pass(owner& o) {
+    schedule_pass p;
+    std::unordered_map<std::string_view, std::size_t> racks;
+    const auto now = o.run.now();
+    for (auto& [agent, s] : o.servers) {
+        if (!is_usable(s, now))
+            continue;
+        refresh(o, s);
+        if (!s.used.known)
+            continue;
+        room r;
+        r.agent = agent;
+        r.rack = s.state.rack();
+        r.rack_number = racks.try_emplace(r.rack, racks.size()).first->second;
+        r.service = s.state.service();
+        r.labels = &s.labels;
+        r.capacity = from_record(s.state.capacity());
+        r.free = r.capacity;
+        r.free -= s.used.taken;
+        r.trust = now < s.distrusted_until ? 0.0 : 1.0;
+        p.index.emplace(agent, p.rooms.size());
+        p.rooms.push_back(r);
+        p.servers.push_back(&s);
+    }
+    return p;
+}
+
+void withhold(const schedule_pass& p, const reservation& r,
+              std::vector<room>& rooms) {
+    for (const auto& agent : r.agents)
+        if (const auto it = p.index.find(agent); it != p.index.end())
+            rooms[it->second].free -= r.each;
+}
+
+bool asks_for_more(const placement_request& more,
+                   const placement_request& less) {
+    return more.count >= less.count && fits(less.each, more.each) &&
+           more.service == less.service &&
+           (more.same_rack || !less.same_rack) &&
+           more.required_label == less.required_label &&
+           more.most_per_server == less.most_per_server &&
+           more.running == less.running;
+}
+
+} // namespace celerylift::fleet
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -48,20 +48,34 @@
     return some && is_ready(j, at, step);
 }
 
-std::vector<waiting_unit> waiting_units(const owner& o) {
+void add_units(const owner& o, const job& j, std::vector<waiting_unit>& units) {
+    for (std::size_t at = 0; at < j.occurrences.size(); ++at)
+        for (int s = 0; s < j.submission.steps_size(); ++s) {
+            if (!can_be_placed(j, j.occurrences[at], s))
+                continue;
+            const auto earns = payoff_of(o, j, j.occurrences[at]);
+            units.push_back({earns == payoff::none, priority_of(o, j),
+                             earns != payoff::in_full,
+                             j.submission.submitted_unix_ms(),
+                             j.submission.id(), at, s});
+        }
+}
+
+/// The units of all jobs that may have any. Forgets jobs that have none; what
+/// brings them a new one names them again.
+std::vector<waiting_unit> waiting_units(owner& o) {
     std::vector<waiting_unit> units;
-    for (const auto& [id, j] : o.jobs) {
-        if (is_over(j.state) || j.cancelled || !queue_of(o, j))
-            continue;
-        for (std::size_t at = 0; at < j.occurrences.size(); ++at)
-            for (int s = 0; s < j.submission.steps_size(); ++s)
-                if (can_be_placed(j, j.occurrences[at], s)) {
-                    const auto earns = payoff_of(o, j, j.occurrences[at]);
-                    units.push_back({earns == payoff::none, priority_of(o, j),
-                                     earns != payoff::in_full,
-                                     j.submission.submitted_unix_ms(), id, at,
-                                     s});
-                }
+    for (auto it = o.waiting_jobs.begin(); it != o.waiting_jobs.end();) {
+        const auto found = o.jobs.find(*it);
+        const auto before = units.size();
+        const bool open = found != o.jobs.end() &&
+                          !is_over(found->second.state) &&
+                          !found->second.cancelled;
+        if (open && queue_of(o, found->second))
+            add_units(o, found->second, units);
+        const bool keep =
+            open && (units.size() > before || !queue_of(o, found->second));
+        it = keep ? std::next(it) : o.waiting_jobs.erase(it);
     }
     std::ranges::sort(units);
     return units;
@@ -78,9 +92,10 @@
     t.stopping = false;
     t.seen_running = false;
     t.percent = 0;
-    s.assigned.insert(t.name);
+    s.assigned[t.name] = {&j, &t};
+    s.used.stale = true;
     o.changed_agents.insert(s.agent);
-    touch(j);
+    touch(o, j);
     t.assigned_in = j.version;
     j.begun = true;
     if (j.state == JOB_PENDING)
@@ -104,6 +119,8 @@
     request.preferred_rack = spec.affinity_rack();
     request.most_per_server = spec.anti_affinity();
     request.same_rack = spec.gang() && spec.same_rack();
+    if (request.most_per_server == 0)
+        return request;
     std::map<std::string, int> running;
     for (const auto& t : at.steps[static_cast<std::size_t>(step)].tasks)
         if (t.phase == task_phase::assigned)
@@ -119,17 +136,13 @@
 
 /// Keeps reserved room from all but the unit that it is kept for, those that
 /// go first, and those that will have ended before it is used.
-void withhold_reserved(std::vector<room>& rooms, const owner& o,
-                       const waiting_unit& unit) {
+void withhold_reserved(const owner& o, const schedule_pass& p,
+                       const waiting_unit& unit, std::vector<room>& rooms) {
     const auto end = o.run.now() + usual_run(o, o.jobs.at(unit.job), unit.step);
-    for (const auto& r : o.reservations) {
-        if (is_for(r, unit) || unit.priority < r.priority || end < r.ready_at)
-            continue;
-        for (const auto& agent : r.agents)
-            for (auto& at : rooms)
-                if (at.agent == agent)
-                    at.free -= r.each;
-    }
+    for (const auto& r : o.reservations)
+        if (!is_for(r, unit) && unit.priority >= r.priority &&
+            end >= r.ready_at)
+            withhold(p, r, rooms);
 }
 
 void end_reservation(owner& o, const waiting_unit& unit) {
@@ -159,23 +172,25 @@
 
 /// A job doesn't spend its last attempt where it failed before, but waits for
 /// another server; unless even an idle fleet has no other.
-void relax_avoidance(const owner& o, placement_request& request) {
+void relax_avoidance(const std::vector<room>& rooms,
+                     placement_request& request) {
     if (request.avoid.empty())
         return;
     auto one = request;
     one.count = 1;
-    if (!could_fit(usable_rooms(o), request.same_rack ? request : one))
+    if (!could_fit(rooms, request.same_rack ? request : one))
         request.avoid.clear();
 }
 
 /// The rack with the most free accelerators.
-std::string emptiest_rack(const std::vector<room>& rooms) {
-    std::map<std::string, std::int64_t> free;
-    for (const auto& r : rooms)
-        free[r.rack] += r.free.accelerators;
-    const auto most = std::ranges::max_element(
-        free, {}, [](const auto& rack) { return rack.second; });
-    return most == free.end() ? "" : most->first;
+std::size_t emptiest_rack(const std::vector<room>& rooms) {
+    std::vector<std::int64_t> free;
+    for (const auto& r : rooms) {
+        free.resize(std::max(free.size(), r.rack_number + 1));
+        free[r.rack_number] += r.free.accelerators;
+    }
+    return static_cast<std::size_t>(std::ranges::max_element(free) -
+                                    free.begin());
 }
 
 bool has_been_patient(const owner& o, const job& j, const waiting_unit& unit,
@@ -190,23 +205,64 @@
     if (unit.priority == 0 || has_been_patient(o, j, unit, first))
         return;
     const auto kept = emptiest_rack(rooms);
-    std::erase_if(rooms, [&](const room& r) { return r.rack == kept; });
+    for (auto& r : rooms)
+        r.withheld = r.rack_number == kept;
 }
 
-/// For a gang that doesn't fit now.
-void make_room(owner& o, const waiting_unit& unit, job& j,
-               const placement_request& request,
-               const std::vector<room>& rooms) {
+failed_request attempt_of(const job& j, bool patient,
+                          const placement_request& request) {
+    return {j.submission.queue(), patient, request};
+}
+
+/// Whether this pass has shown already that a request finds no room. Units
+/// with a reservation have room that others haven't, and urgent ones may take
+/// room that is in use.
+bool is_hopeless(const owner& o, const schedule_pass& p,
+                 const waiting_unit& unit, const failed_request& now) {
+    return unit.priority != 0 && !has_reservation(o, unit) &&
+           std::ranges::any_of(p.failed, [&](const failed_request& earlier) {
+               return earlier.queue == now.queue &&
+                      earlier.patient == now.patient &&
+                      asks_for_more(now.request, earlier.request);
+           });
+}
+
+void note_failure(const owner& o, schedule_pass& p, const waiting_unit& unit,
+                  failed_request attempt) {
+    if (attempt.request.avoid.empty() && !has_reservation(o, unit))
+        p.failed.push_back(std::move(attempt));
+}
+
+/// Gives tasks their servers, and takes the room from the rest of the pass.
+void assign_to(owner& o, schedule_pass& p, job& j, task& t, std::size_t at,
+               int run) {
+    auto& s = *p.servers[at];
+    p.rooms[at].free -= need_of(step_of(j, t.name));
+    if (p.urgent_use && priority_of(o, j) == 0)
+        (*p.urgent_use)[j.submission.organisation()] +=
+            need_of(step_of(j, t.name)).accelerators;
+    assign(o, j, t, s, run);
+}
+
+/// Whether room may be kept for work that has waited for long.
+bool may_reserve(const schedule_pass& p, const job& j, const waiting_unit& unit,
+                 bool patient) {
+    return j.submission.steps(unit.step).gang() && patient && !unit.worthless &&
+           p.plans_left > 0;
+}
+
+/// For work that doesn't fit now.
+void make_room(owner& o, schedule_pass& p, const waiting_unit& unit, job& j,
+               const placement_request& request, const std::vector<room>& rooms,
+               bool patient) {
     const auto& at = j.occurrences[unit.occurrence];
-    const auto& first =
-        at.steps[static_cast<std::size_t>(unit.step)].tasks.front();
-    if (has_reservation(o, unit) || reclaim(o, j, at, unit.step, request))
+    if (has_reservation(o, unit) || reclaim(o, p, j, at, unit.step, request))
         return;
-    if (!unit.worthless && has_been_patient(o, j, unit, first))
-        reserve_ahead(o, j, at, unit.step, rooms, request);
+    if (may_reserve(p, j, unit, patient))
+        reserve_ahead(o, p, j, at, unit.step, rooms, request);
 }
 
-void place_gang(owner& o, job& j, const waiting_unit& unit) {
+void place_gang(owner& o, schedule_pass& p, job& j, const waiting_unit& unit) {
     auto& at = j.occurrences[unit.occurrence];
     auto& tasks = at.steps[static_cast<std::size_t>(unit.step)].tasks;
     auto request = request_for(o, j, at, unit.step);
@@ -217,51 +273,97 @@
         if (!t.avoid_agent.empty())
             request.avoid.insert(t.avoid_agent);
     }
-    auto rooms = usable_rooms(o);
-    relax_rack(o, j, unit, rooms, tasks.front(), request);
-    withhold_reserved(rooms, o, unit);
-    relax_avoidance(o, request);
+    const bool patient = has_been_patient(o, j, unit, tasks.front());
+    relax_rack(o, j, unit, p.rooms, tasks.front(), request);
+    relax_avoidance(p.rooms, request);
+    const auto attempt = attempt_of(j, patient, request);
+    const bool hopeless = is_hopeless(o, p, unit, attempt);
+    if (hopeless && !may_reserve(p, j, unit, patient))
+        return;
+    auto rooms = p.rooms;
+    withhold_reserved(o, p, unit, rooms);
     withhold_for_urgent(o, j, unit, tasks.front(), rooms);
-    const auto chosen = place(rooms, request);
-    if (chosen.empty())
-        return make_room(o, unit, j, request, rooms);
+    if (!hopeless)
+        o.run.metrics.count("placements_tried_total");
+    const auto chosen = hopeless ? placement{} : place(rooms, request);
+    if (chosen.empty()) {
+        make_room(o, p, unit, j, request, rooms, patient);
+        return note_failure(o, p, unit, attempt);
+    }
     end_reservation(o, unit);
     for (std::size_t i = 0; i < tasks.size(); ++i)
-        assign(o, j, tasks[i], o.servers.at(rooms[chosen[i]].agent), run + 1);
+        assign_to(o, p, j, tasks[i], chosen[i], run + 1);
 }
 
-void place_singles(owner& o, job& j, const waiting_unit& unit) {
+/// Tasks of a step that wait, those first that may run anywhere.
+std::vector<task*> waiting_tasks(step_run& s) {
+    std::vector<task*> waiting;
+    for (auto& t : s.tasks)
+        if (t.phase == task_phase::waiting)
+            waiting.push_back(&t);
+    std::ranges::stable_partition(
+        waiting, [](const task* t) { return t->avoid_agent.empty(); });
+    return waiting;
+}
+
+/// Places tasks from `next` on that avoid the same server. Returns how many.
+std::size_t place_alike(owner& o, schedule_pass& p, job& j,
+                        const waiting_unit& unit,
+                        const std::vector<task*>& tasks, std::size_t next,
+                        std::vector<room>& rooms) {
+    const auto& avoid = tasks[next]->avoid_agent;
+    auto request = request_for(o, j, j.occurrences[unit.occurrence], unit.step);
+    if (!avoid.empty())
+        request.avoid.insert(avoid);
+    relax_avoidance(p.rooms, request);
+    const auto alike = std::find_if(
+        tasks.begin() + static_cast<std::ptrdiff_t>(next), tasks.end(),
+        [&](const task* t) { return t->avoid_agent != avoid; });
+    request.count =
+        static_cast<int>(alike - tasks.begin()) - static_cast<int>(next);
+    o.run.metrics.count("placements_tried_total");
+    const auto chosen = place_up_to(rooms, request);
+    for (std::size_t i = 0; i < chosen.size(); ++i)
+        assign_to(o, p, j, *tasks[next + i], chosen[i],
+                  tasks[next + i]->run + 1);
+    return chosen.size();
+}
+
+void place_singles(owner& o, schedule_pass& p, job& j,
+                   const waiting_unit& unit) {
     auto& at = j.occurrences[unit.occurrence];
-    auto& tasks = at.steps[static_cast<std::size_t>(unit.step)].tasks;
-    auto rooms = usable_rooms(o);
-    withhold_reserved(rooms, o, unit);
-    const auto first =
-        std::ranges::find(tasks, task_phase::waiting, &task::phase);
-    withhold_for_urgent(o, j, unit, *first, rooms);
+    const auto tasks =
+        waiting_tasks(at.steps[static_cast<std::size_t>(unit.step)]);
+    const auto& first = *tasks.front();
+    const bool patient = has_been_patient(o, j, unit, first);
     auto request = request_for(o, j, at, unit.step);
-    int left = 0;
-    for (auto& t : tasks) {
-        if (t.phase != task_phase::waiting)
-            continue;
-        request.avoid.clear();
-        if (!t.avoid_agent.empty())
-            request.avoid.insert(t.avoid_agent);
-        relax_avoidance(o, request);
-        const auto chosen = place(rooms, request);
-        if (chosen.empty()) {
-            ++left;
-            continue;
-        }
-        const auto& agent = rooms[chosen.front()].agent;
-        assign(o, j, t, o.servers.at(agent), t.run + 1);
-        request = request_for(o, j, at, unit.step);
+    if (is_hopeless(o, p, unit, attempt_of(j, patient, request)))
+        return;
+    auto rooms = p.rooms;
+    withhold_reserved(o, p, unit, rooms);
+    withhold_for_urgent(o, j, unit, first, rooms);
+    std::size_t placed = 0;
+    while (placed < tasks.size()) {
+        const auto n = place_alike(o, p, j, unit, tasks, placed, rooms);
+        if (n == 0)
+            break;
+        placed += n;
     }
-    if (left == 0)
+    if (placed == tasks.size())
         return end_reservation(o, unit);
-    request.avoid.clear();
-    request.count = left;
-    if (!has_reservation(o, unit))
-        reclaim(o, j, at, unit.step, request);
+    request = request_for(o, j, at, unit.step);
+    if (tasks[placed]->avoid_agent.empty())
+        note_failure(o, p, unit, attempt_of(j, patient, request));
+    request.count = static_cast<int>(tasks.size() - placed);
+    make_room(o, p, unit, j, request, rooms, patient);
+}
+
+void end_old_reservations(owner& o) {
+    std::erase_if(o.reservations, [&](const reservation& r) {
+        const auto it = o.jobs.find(r.job);
+        return o.run.now() > r.expires || it == o.jobs.end() ||
+               is_over(it->second.state);
+    });
 }
 
 } // namespace
@@ -280,66 +382,25 @@
                                       : declared;
 }
 
-std::vector<room> usable_rooms(const owner& o) {
-    std::vector<room> rooms;
-    const auto now = o.run.now();
-    for (const auto& [agent, s] : o.servers) {
-        if (!s.heard || s.state.incarnation().empty() || s.state.draining() ||
-            s.state.departed() || now > s.heard_at + usable_silence)
-            continue;
-        room r;
-        r.agent = agent;
-        r.rack = s.state.rack();
-        r.labels.assign(s.state.labels().begin(), s.state.labels().end());
-        r.service = s.state.service();
-        r.capacity = from_record(s.state.capacity());
-        r.free = r.capacity;
-        r.trust = now < s.distrusted_until ? 0.0 : 1.0;
-        bool known = true;
-        std::set<task_name> counted;
-        for (const auto& name : s.assigned) {
-            const auto& j = o.jobs.at(name.job);
-            const auto* t = find_task(j, name);
-            if (!t || t->resolved)
-                continue;
-            counted.insert(name);
-            r.free -= need_of(step_of(j, name));
-        }
-        // What runs there against the record still takes room.
-        for (const auto& running : s.running) {
-            const auto name = parse_task_name(running.name().task());
-            const auto it = name ? o.jobs.find(name->job) : o.jobs.end();
-            if (it == o.jobs.end() ||
-                name->step >= it->second.submission.steps_size()) {
-                known = false;
-                break;
-            }
-            if (counted.insert(*name).second)
-                r.free -= need_of(step_of(it->second, *name));
-        }
-        if (known)
-            rooms.push_back(std::move(r));
-    }
-    return rooms;
-}
-
 void schedule(owner& o) {
     if (o.run.now() < o.active_since + shortest_settling_time)
         return;
     if (!o.expected_agents.empty() &&
         o.run.now() < o.active_since + longest_settling_time)
         return;
-    std::erase_if(o.reservations, [&](const reservation& r) {
-        return o.run.now() > r.expires || !o.jobs.contains(r.job) ||
-               is_over(o.jobs.at(r.job).state);
-    });
-    for (const auto& unit : waiting_units(o)) {
+    end_old_reservations(o);
+    const auto units = waiting_units(o);
+    if (units.empty())
+        return;
+    auto p = begin_pass(o);
+    for (const auto& unit : units) {
         auto& j = o.jobs.at(unit.job);
         if (j.submission.steps(unit.step).gang())
-            place_gang(o, j, unit);
+            place_gang(o, p, j, unit);
         else
-            place_singles(o, j, unit);
+            place_singles(o, p, j, unit);
     }
+    o.run.metrics.gauge("units_waiting", static_cast<double>(units.size()));
 }
 
 } // namespace celerylift::fleet
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -4,6 +4,7 @@
 #include <celerylift/mutant.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace celerylift::fleet {
 
@@ -25,13 +26,20 @@
 
 std::vector<written_job> take_changed_jobs(owner& o) {
     std::vector<written_job> batch;
-    for (auto& [id, j] : o.jobs) {
-        if (j.write_in_flight || j.version == j.stored_version)
+    for (auto it = o.unwritten_jobs.begin();
+         it != o.unwritten_jobs.end() && batch.size() < most_jobs_in_write;) {
+        const auto found = o.jobs.find(*it);
+        if (found != o.jobs.end() && found->second.write_in_flight) {
+            ++it;
             continue;
-        j.write_in_flight = true;
-        batch.push_back({id, j.version, to_record(j).SerializeAsString()});
-        if (batch.size() == most_jobs_in_write)
-            break;
+        }
+        if (found != o.jobs.end() &&
+            found->second.version != found->second.stored_version) {
+            auto& j = found->second;
+            j.write_in_flight = true;
+            batch.push_back({*it, j.version, to_record(j).SerializeAsString()});
+        }
+        it = o.unwritten_jobs.erase(it);
     }
     return batch;
 }
@@ -72,11 +80,14 @@
             continue;
         auto& j = it->second;
         j.record_revision = revision;
-        j.stored_version = written.version;
+        const auto before = std::exchange(j.stored_version, written.version);
+        // Only the starts that have waited for this record.
         for (const auto& at : j.occurrences)
             for (const auto& s : at.steps)
                 for (const auto& t : s.tasks)
-                    if (t.phase == task_phase::assigned)
+                    if (t.phase == task_phase::assigned &&
+                        t.assigned_in > before &&
+                        t.assigned_in <= written.version)
                         o.changed_agents.insert(t.agent);
     }
     for (auto& [agent, s] : o.servers)
@@ -94,8 +105,10 @@
 void take_write(owner& o, const std::vector<written_job>& batch,
                 const transaction_reply& reply) {
     for (const auto& written : batch)
-        if (auto it = o.jobs.find(written.id); it != o.jobs.end())
+        if (auto it = o.jobs.find(written.id); it != o.jobs.end()) {
             it->second.write_in_flight = false;
+            o.unwritten_jobs.insert(written.id);
+        }
     if (reply.status == store_status::ok)
         mark_stored(o, batch, reply.revision);
     else if (reply.status == store_status::conflict)
@@ -192,16 +205,15 @@
         orders.set_grant_ms(agent_grant.count());
         s.granted_until = std::max(s.granted_until, end_of_grant(s.heard_at));
     }
-    for (const auto& name : s.assigned) {
-        auto& j = o.jobs.at(name.job);
-        const auto* t = find_task(j, name);
-        if (!t || t->resolved || t->incarnation != s.state.incarnation())
+    for (const auto& [name, held] : s.assigned) {
+        const auto& t = *held.what;
+        if (t.resolved || t.incarnation != s.state.incarnation())
             continue;
-        if (t->stopping)
-            add_stop(to_string(name), t->run, orders);
-        else if (j.stored_version >= t->assigned_in ||
+        if (t.stopping)
+            add_stop(to_string(name), t.run, orders);
+        else if (held.of->stored_version >= t.assigned_in ||
                  is_mutant("start-without-record"))
-            add_start(j, *t, orders);
+            add_start(*held.of, t, orders);
     }
     add_leftovers(o, s, orders);
     return orders;
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -1,14 +1,20 @@
 #include <celerylift/fleet/placement.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <map>
-#include <optional>
 #include <tuple>
 
 namespace celerylift::fleet {
 
 namespace {
 
+std::int64_t times(std::int64_t free, std::int64_t each) {
+    if (each <= 0)
+        return std::numeric_limits<std::int64_t>::max();
+    return free <= 0 ? 0 : free / each;
+}
+
 int already_running(const room& r, const placement_request& request) {
     int count = 0;
     for (const auto& [agent, running] : request.running)
@@ -17,125 +23,142 @@
     return count;
 }
 
-/// Lower is better: trusted servers, the preferred rack, then the tightest.
-using preference =
-    std::tuple<bool, bool, std::int64_t, std::int64_t, std::string>;
-
-preference rank(const room& r, const placement_request& request) {
-    const bool far =
-        !request.preferred_rack.empty() && r.rack != request.preferred_rack;
-    return {r.trust < least_trust, far, r.free.accelerators, r.free.millicores,
-            r.agent};
+/// How many of the tasks a server takes now.
+std::int64_t slots_on(const room& r, const placement_request& request) {
+    const auto slots =
+        std::min<std::int64_t>(slots_in(r.free, request.each), request.count);
+    if (request.most_per_server == 0)
+        return slots;
+    return std::clamp<std::int64_t>(
+        request.most_per_server - already_running(r, request), 0, slots);
 }
 
-std::optional<std::size_t> best_server(const std::vector<room>& rooms,
-                                       const std::vector<std::size_t>& among,
-                                       const std::map<std::size_t, int>& placed,
-                                       const placement_request& request) {
-    std::optional<std::size_t> best;
-    for (const auto i : among) {
-        const auto& r = rooms[i];
-        if (!fits(request.each, r.free))
-            continue;
-        const auto it = placed.find(i);
-        const int here =
-            already_running(r, request) + (it == placed.end() ? 0 : it->second);
-        if (request.most_per_server > 0 && here >= request.most_per_server)
-            continue;
-        if (!best || rank(r, request) < rank(rooms[*best], request))
-            best = i;
-    }
-    return best;
+/// Lower is better: trusted servers, the preferred rack, then the tightest.
+using preference = std::tuple<bool, bool, std::int64_t, std::int64_t>;
+
+bool is_far(const room& r, const placement_request& request) {
+    return !request.preferred_rack.empty() && r.rack != request.preferred_rack;
 }
 
-placement place_among(std::vector<room>& rooms,
-                      const std::vector<std::size_t>& among,
-                      const placement_request& request) {
-    placement result;
-    std::map<std::size_t, int> placed;
-    for (int n = 0; n < request.count; ++n) {
-        const auto best = best_server(rooms, among, placed, request);
-        if (!best)
-            break;
-        rooms[*best].free -= request.each;
-        ++placed[*best];
-        result.push_back(*best);
+/// A server and the number of tasks that it takes.
+struct candidate {
+    preference rank;
+    std::size_t index = 0;
+    std::int64_t slots = 0;
+
+    auto operator<=>(const candidate&) const = default;
+};
+
+/// Servers among which all tasks are placed: those of one rack, or all.
+struct group {
+    std::vector<candidate> members;
+    std::int64_t slots = 0;
+    int distrusted = 0;
+    bool far = false;
+    resources free;
+
+    auto rank() const {
+        return std::tuple{distrusted, far, free.accelerators, free.millicores};
     }
-    if (static_cast<int>(result.size()) == request.count)
-        return result;
-    for (const auto i : result)
-        rooms[i].free += request.each;
-    return {};
+};
+
+void add_member(group& g, const room& r, std::size_t index,
+                const placement_request& request) {
+    const bool distrusted = r.trust < least_trust;
+    const bool far = is_far(r, request);
+    const auto slots = slots_on(r, request);
+    g.distrusted += distrusted ? 1 : 0;
+    g.far = g.far || far;
+    g.free += r.free;
+    g.slots += slots;
+    if (slots > 0)
+        g.members.push_back(
+            {{distrusted, far, r.free.accelerators, r.free.millicores},
+             index,
+             slots});
 }
 
-std::map<std::string, std::vector<std::size_t>>
-eligible_by_rack(const std::vector<room>& rooms,
-                 const placement_request& request) {
-    std::map<std::string, std::vector<std::size_t>> racks;
+/// Racks in order of preference: trusted and preferred ones, then the fullest.
+std::vector<group> groups_in_order(const std::vector<room>& rooms,
+                                   const placement_request& request) {
+    std::map<std::size_t, group> racks;
     for (std::size_t i = 0; i < rooms.size(); ++i)
-        if (is_eligible(rooms[i], request))
-            racks[request.same_rack ? rooms[i].rack : ""].push_back(i);
-    return racks;
+        if (!rooms[i].withheld && is_eligible(rooms[i], request))
+            add_member(racks[request.same_rack ? rooms[i].rack_number : 0],
+                       rooms[i], i, request);
+    std::vector<group> groups;
+    for (auto& [rack, members] : racks)
+        groups.push_back(std::move(members));
+    std::ranges::stable_sort(groups, {},
+                             [](const group& g) { return g.rank(); });
+    return groups;
 }
 
-/// Racks in order of preference: trusted and preferred ones, then the fullest.
-std::vector<std::vector<std::size_t>>
-groups_in_order(const std::vector<room>& rooms,
-                const placement_request& request) {
-    std::vector<std::pair<std::tuple<int, bool, std::int64_t, std::int64_t>,
-                          std::vector<std::size_t>>>
-        groups;
-    for (auto& [rack, members] : eligible_by_rack(rooms, request)) {
-        int distrusted = 0;
-        std::int64_t accelerators = 0;
-        std::int64_t millicores = 0;
-        for (const auto i : members) {
-            distrusted += rooms[i].trust < least_trust ? 1 : 0;
-            accelerators += rooms[i].free.accelerators;
-            millicores += rooms[i].free.millicores;
+/// A server that has been given a task is tighter than before, so it stays
+/// the best one until it is full.
+placement fill(std::vector<room>& rooms, group& among,
+               const placement_request& request) {
+    std::ranges::sort(among.members);
+    placement result;
+    auto left = std::min<std::int64_t>(request.count, among.slots);
+    for (const auto& member : among.members) {
+        for (auto n = std::min(left, member.slots); n > 0; --n, --left) {
+            rooms[member.index].free -= request.each;
+            result.push_back(member.index);
         }
-        const bool far =
-            !request.preferred_rack.empty() && rack != request.preferred_rack;
-        groups.emplace_back(
-            std::tuple{distrusted, far, accelerators, millicores}, members);
+        if (left == 0)
+            break;
     }
-    std::ranges::stable_sort(groups, {}, [](const auto& g) { return g.first; });
-    std::vector<std::vector<std::size_t>> result;
-    result.reserve(groups.size());
-    for (auto& [order, members] : groups)
-        result.push_back(std::move(members));
     return result;
 }
 
 } // namespace
 
+std::int64_t slots_in(const resources& free, const resources& each) {
+    return std::min({times(free.millicores, each.millicores),
+                     times(free.memory_mb, each.memory_mb),
+                     times(free.accelerators, each.accelerators)});
+}
+
 bool is_eligible(const room& r, const placement_request& request) {
-    if (r.service != request.service || request.avoid.contains(r.agent))
+    if (r.service != request.service || !fits(request.each, r.capacity))
         return false;
-    if (!fits(request.each, r.capacity))
+    if (!request.avoid.empty() && request.avoid.contains(r.agent))
         return false;
     return request.required_label.empty() ||
-           std::ranges::find(r.labels, request.required_label) !=
-               r.labels.end();
+           std::ranges::find(*r.labels, request.required_label) !=
+               r.labels->end();
 }
 
 placement place(std::vector<room>& rooms, const placement_request& request) {
-    for (const auto& group : groups_in_order(rooms, request)) {
-        auto result = place_among(rooms, group, request);
-        if (!result.empty())
-            return result;
-    }
+    for (auto& among : groups_in_order(rooms, request))
+        if (among.slots >= request.count)
+            return fill(rooms, among, request);
+    return {};
+}
+
+placement place_up_to(std::vector<room>& rooms,
+                      const placement_request& request) {
+    for (auto& among : groups_in_order(rooms, request))
+        if (among.slots > 0)
+            return fill(rooms, among, request);
     return {};
 }
 
 bool could_fit(const std::vector<room>& rooms,
                const placement_request& request) {
-    auto empty = rooms;
-    for (auto& r : empty)
-        r.free = r.capacity;
-    auto fresh = request;
-    fresh.running.clear();
-    return !place(empty, fresh).empty();
+    std::map<std::size_t, std::int64_t> slots;
+    for (const auto& r : rooms) {
+        if (!is_eligible(r, request))
+            continue;
+        auto here = std::min<std::int64_t>(slots_in(r.capacity, request.each),
+                                           request.count);
+        if (request.most_per_server > 0)
+            here = std::min<std::int64_t>(here, request.most_per_server);
+        slots[request.same_rack ? r.rack_number : 0] += here;
+    }
+    return std::ranges::any_of(
+        slots, [&](const auto& s) { return s.second >= request.count; });
 }
 
 } // namespace celerylift::fleet
--- /dev/null
+++ b/tests/fleet/owner_size_test.cpp
@@ -0,0 +1,78 @@
+// The owner of hundreds and of thousands of servers: what it does follows what
+// changes, not the size of the fleet times what waits.
+#include "lone_owner.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fmt/format.h>
+
+namespace celerylift::test {
+
+namespace {
+
+constexpr fleet::resources one_accelerator{11'000, 46'000, 1};
+constexpr fleet::resources whole_server{52'000, 270'000, 8};
+
+std::string id_of(int n) {
+    return fmt::format("{:016x}", n);
+}
+
+class a_large_fleet : public ::testing::TestWithParam<int> {};
+
+} // namespace
+
+// Each report ran the whole schedule: at 160 servers that report twice a
+// second, an owner with an eighth of a core did nothing else, and the leases of
+// running work lapsed.
+TEST_P(a_large_fleet, decides_once_for_all_reports_of_a_moment) {
+    lone_owner f(GetParam());
+    f.run_for(duration{100});
+    const auto before = f.process.metrics.counter("schedule_passes_total");
+    f.report_all();
+    f.run_for(duration{5});
+    EXPECT_EQ(f.process.metrics.counter("schedule_passes_total") - before, 1U);
+}
+
+TEST_P(a_large_fleet, looks_anew_only_at_servers_that_have_changed) {
+    lone_owner f(GetParam());
+    f.add_job(id_of(1), "normal", GetParam() * 8, one_accelerator, false);
+    f.run_for(duration{200});
+    f.report_all();
+    f.run_for(duration{20});
+    const auto before = f.process.metrics.counter("rooms_refreshed_total");
+    f.report(3);
+    f.run_for(duration{5});
+    EXPECT_EQ(f.process.metrics.counter("rooms_refreshed_total") - before, 1U);
+}
+
+TEST_P(a_large_fleet, tries_one_of_many_gangs_that_are_alike) {
+    lone_owner f(GetParam());
+    f.add_job(id_of(1), "normal", GetParam() - 16, whole_server, true);
+    f.run_for(duration{50});
+    for (int n = 2; n <= 200; ++n)
+        f.add_job(id_of(n), "normal", 2 + n % 3, whole_server, true);
+    f.report_all();
+    f.run_for(duration{50});
+    const auto before = f.process.metrics.counter("placements_tried_total");
+    f.report(3);
+    f.run_for(duration{5});
+    // The smallest of them, and those in between that come before it.
+    EXPECT_LE(f.process.metrics.counter("placements_tried_total") - before, 3U);
+    EXPECT_EQ(f.assigned_tasks(), GetParam() - 16);
+}
+
+TEST_P(a_large_fleet, tells_only_the_agents_whose_starts_are_recorded) {
+    lone_owner f(GetParam());
+    f.add_job(id_of(1), "normal", GetParam() / 2, whole_server, false);
+    f.run_for(duration{50});
+    f.report_all();
+    f.run_for(duration{50});
+    f.orders.clear();
+    f.add_job(id_of(2), "normal", 2, whole_server, false);
+    f.run_for(duration{50});
+    EXPECT_EQ(f.orders.size(), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(sizes, a_large_fleet, ::testing::Values(160, 1600));
+
+} // namespace celerylift::test
