Let the strongest entry lead, and keep an agent's links few

Cause: the first entry to claim a free cell owned it, also one with 0.12 of a core and a link of 20 Mbit/s. Each agent was linked to all 35 entries, greeted each every two seconds, and was told the whole list of entries each time: 80 lists of 35 records a second at each entry. Each write of the owner was told to all entries, whole, beside their watches. Ruled out: a fixed owner, which would be a host set aside for control. Change: an entry publishes its share of a core and its link; it claims a free cell at once if it is the strongest, and otherwise 150 ms later for each entry before it. A much weaker owner hands over once the entries have been the same for 1.5 s, and never owns again under the epoch that it gave up. The list of entries is sent where it has changed. Entries tell the owner of new jobs, and everyone of jobs that are over. A new owner waits until no more servers are heard for 60 ms, at most 0.5 s (0.8 before). A test looked into an entry's list of jobs for what callers are shown; it asks as a caller now, within the same bound.

--- a/modules/base/include/celerylift/base/settings_reader.hpp
+++ b/modules/base/include/celerylift/base/settings_reader.hpp
@@ -35,6 +35,7 @@
     std::string name(const std::string& key);
     std::int64_t number(const std::string& key, std::int64_t low,
                         std::int64_t high);
+    double decimal(const std::string& key, double low, double high);
     base::address address(const std::string& key);
 
     /// A list of addresses; it may be empty.
--- a/modules/base/src/settings_reader.cpp
+++ b/modules/base/src/settings_reader.cpp
@@ -113,6 +113,21 @@
     return parsed;
 }
 
+double settings_reader::decimal(const std::string& key, double low,
+                                double high) {
+    const auto value = text(key);
+    if (!problem_.empty())
+        return 0;
+    char* end = nullptr;
+    const auto parsed = std::strtod(value.c_str(), &end);
+    const bool whole = !value.empty() && *end == '\0';
+    if (!whole || !(parsed >= low && parsed <= high))
+        refuse(key, "'" + value + "'",
+               fmt::format("a number from {} to {}, without a unit", low,
+                           high));
+    return parsed;
+}
+
 address settings_reader::address(const std::string& key) {
     return parse_address(key, text(key));
 }
--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -7,6 +7,7 @@
 #include <celerylift/fleet/owner.hpp>
 #include <celerylift/fleet/peer_links.hpp>
 #include <celerylift/fleet/relayed_store.hpp>
+#include <celerylift/fleet/strength.hpp>
 
 #include <functional>
 #include <map>
@@ -62,6 +63,7 @@
     void follow_owner();
     void gain_cell();
     void read_config();
+    void tick();
     void tell_entries(const std::vector<store_item>& items);
     void take_notice(const Notice& notice);
     void serve_store_call(const std::string& entry, const StoreCall& call);
@@ -80,11 +82,18 @@
     front front_;
     mirror cell_mirror_;
     mirror config_mirror_;
-    std::map<std::string, EntryRecord> entries_;
+    entry_records entries_;
+    std::uint64_t entries_version_ = 0; // The same wherever the list is.
+    time_point entries_changed_at_{};
+    time_point handed_over_at_{duration{-1'000'000}};
     EntryRecord owner_record_;
     std::int64_t owner_revision_ = 0;
     std::int64_t gained_epoch_ = 0; // Active once the mirror has reached it.
-    std::map<std::string, time_point> agents_; // When each was heard.
+    struct known_agent {
+        time_point heard_at{};
+        std::uint64_t entries_version = 0;
+    };
+    std::map<std::string, known_agent> agents_;
     bool stopping_ = false;
 };
 
--- a/modules/fleet/include/celerylift/fleet/leadership.hpp
+++ b/modules/fleet/include/celerylift/fleet/leadership.hpp
@@ -21,6 +21,8 @@
         std::function<void(std::int64_t epoch)> gained;
         /// It does not any longer, or can't know.
         std::function<void()> lost;
+        /// How long this entry leaves a free cell to others.
+        std::function<duration()> claim_delay;
     };
 
     leadership(runtime& run, store& in, EntryRecord self, listeners call);
@@ -35,6 +37,10 @@
     /// none.
     void on_owner_changed(const EntryRecord& owner, std::int64_t revision);
 
+    /// Frees the cell for a stronger entry, and decides nothing from here on,
+    /// whatever becomes of the call to the store.
+    void hand_over();
+
     /// A registration of this entry has been seen to go.
     void on_own_entry_removed();
 
@@ -55,6 +61,7 @@
     void claim();
     void take_claim(const transaction_reply& reply);
     void drop_lease(const char* why);
+    void replace_lease();
     void resign(const char* why);
 
     runtime& run_;
@@ -70,6 +77,8 @@
     bool claiming_ = false;
     bool stopped_ = false;
     bool owner_seen_ = false;
+    std::int64_t given_up_epoch_ = 0; // Never owned again.
+    time_point free_since_{}; // The cell, while it has no owner.
     EntryRecord owner_;
     std::int64_t owner_revision_ = 0;
     std::int64_t epoch_ = 0;
--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -93,6 +93,7 @@
 
     std::int64_t epoch = 0; // 0: this process doesn't own the cell.
     time_point active_since{};
+    time_point new_server_at{}; // When one was last heard for the first time.
     std::set<std::string> expected_agents{}; // Not heard yet.
     std::shared_ptr<const fleet_config> config{};
     std::map<std::string, job> jobs{};
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -3,6 +3,9 @@
 #include <celerylift/fleet/names.hpp>
 
 #include <algorithm>
+#include <fmt/format.h>
+#include <functional>
+#include <optional>
 
 namespace celerylift::fleet {
 
@@ -16,9 +19,28 @@
 /// away.
 constexpr duration longest_store_silence{3500};
 
+/// Owners change only once the entries of a cell have been the same for this
+/// long: not while they are being started or replaced.
+constexpr duration steady_time{1500};
+
 /// Agents greet every entry more often than this.
 constexpr duration agent_life{3000};
 
+/// Agents that have not greeted for this long have their links elsewhere.
+constexpr duration agent_memory{10'000};
+
+/// A stronger entry that is there and doesn't lead may not reach the store.
+constexpr duration hand_over_pause{20'000};
+
+/// The same for the same list, in every entry.
+std::uint64_t version_of(const entry_records& entries) {
+    std::string text;
+    for (const auto& [name, record] : entries)
+        text += fmt::format("{} {} {};", name, record.address(),
+                            record.incarnation());
+    return std::hash<std::string>{}(text);
+}
+
 } // namespace
 
 entry_node::entry_node(runtime& run, store& records,
@@ -38,6 +60,10 @@
                                              [this] {
                                                  gained_epoch_ = 0;
                                                  deactivate(owner_);
+                                             },
+                                             [this] {
+                                                 return claim_delay(
+                                                     entries_, settings_.self);
                                              }}),
       owner_{run, records_, [this] { return leadership_.is_valid(); },
              [this](const std::string& agent, const OwnerOrders& orders) {
@@ -74,7 +100,7 @@
     config_mirror_.start();
     leadership_.start();
     run_.timers.every(run_.now(), owner_tick,
-                      [this](time_point) { on_tick(owner_); });
+                      [this](time_point) { tick(); });
     run_.timers.every(run_.now(), config_check,
                       [this](time_point) { read_config(); });
 }
@@ -86,6 +112,19 @@
     deactivate(owner_);
 }
 
+void entry_node::tick() {
+    on_tick(owner_);
+    std::erase_if(agents_, [this](const auto& a) {
+        return run_.now() > a.second.heard_at + agent_memory;
+    });
+    if (owner_.epoch != 0 && run_.now() > handed_over_at_ + hand_over_pause &&
+        run_.now() > entries_changed_at_ + steady_time &&
+        should_hand_over(entries_, settings_.self)) {
+        handed_over_at_ = run_.now();
+        leadership_.hand_over();
+    }
+}
+
 bool entry_node::is_ready() const {
     return !stopping_ && config_ && cell_mirror_.is_loaded() &&
            run_.now() < cell_mirror_.last_answer() + longest_store_silence;
@@ -136,6 +175,8 @@
         if (other)
             peers_.connect(record.address());
     }
+    entries_version_ = version_of(entries_);
+    entries_changed_at_ = run_.now();
     if (change.removed && name == settings_.self.name())
         leadership_.on_own_entry_removed();
     follow_entries();
@@ -154,8 +195,8 @@
         return;
     owner_.config = config_;
     std::set<std::string> expected;
-    for (const auto& [agent, heard_at] : agents_)
-        if (run_.now() < heard_at + agent_life)
+    for (const auto& [agent, known] : agents_)
+        if (run_.now() < known.heard_at + agent_life)
             expected.insert(agent);
     activate(owner_, gained_epoch_, directory_, expected);
     welcome_everyone();
@@ -201,7 +242,10 @@
         return records_.take_reply(envelope.store_reply());
     if (envelope.has_store_call())
         return serve_store_call(from, envelope.store_call());
-    agents_[from] = run_.now();
+    auto& known = agents_[from];
+    known.heard_at = run_.now();
+    if (envelope.has_hello())
+        known.entries_version = envelope.hello().entries_version();
     if (envelope.has_report() && owner_.epoch != 0)
         on_report(owner_, from, envelope.report());
     else
@@ -219,15 +263,33 @@
 
 } // namespace
 
+/// What others are told of what this entry has written: the owner of a job
+/// that it doesn't know, everyone of a job that is over. The rest they see by
+/// their watches a moment later.
 void entry_node::tell_entries(const std::vector<store_item>& items) {
-    FleetEnvelope envelope;
+    FleetEnvelope to_owner;
+    FleetEnvelope to_all;
     for (const auto& item : items) {
+        const auto key = parse_job_key(item.key);
+        const auto before = key ? shown_state(directory_, key->id)
+                                : std::optional<JobState>{};
         cell_mirror_.observe(item);
-        add_item(item, envelope.mutable_notice());
+        const auto after = key ? shown_state(directory_, key->id)
+                               : std::optional<JobState>{};
+        if (after == before)
+            continue;
+        const bool over = after && is_over(*after);
+        add_item(item, (over ? to_all : to_owner).mutable_notice());
+    }
+    for (const auto& [name, record] : entries_) {
+        const bool leads = record.address() == owner_record_.address();
+        if (name == settings_.self.name())
+            continue;
+        if (to_all.has_notice())
+            peers_.send(record.address(), to_all);
+        if (to_owner.has_notice() && leads)
+            peers_.send(record.address(), to_owner);
     }
-    for (const auto& [name, record] : entries_)
-        if (name != settings_.self.name())
-            peers_.send(record.address(), envelope);
 }
 
 void entry_node::take_notice(const Notice& notice) {
@@ -250,13 +312,15 @@
     auto* welcome = envelope.mutable_welcome();
     welcome->set_owner_address(owner_record_.address());
     welcome->set_epoch(owner_revision_);
-    for (const auto& [name, record] : entries_)
-        *welcome->add_entries() = record;
+    welcome->set_entries_version(entries_version_);
+    if (agents_[agent].entries_version != entries_version_)
+        for (const auto& [name, record] : entries_)
+            *welcome->add_entries() = record;
     send_(agent, envelope);
 }
 
 void entry_node::welcome_everyone() {
-    for (const auto& [agent, heard_at] : agents_)
+    for (const auto& [agent, known] : agents_)
         send_welcome(agent);
 }
 
--- a/modules/fleet/src/leadership.cpp
+++ b/modules/fleet/src/leadership.cpp
@@ -3,6 +3,7 @@
 #include <celerylift/fleet/names.hpp>
 
 #include <fmt/format.h>
+#include <utility>
 
 namespace celerylift::fleet {
 
@@ -41,7 +42,8 @@
         renew();
     if (!registered_ && !registering_)
         register_entry();
-    if (owner_seen_ && owner_revision_ == 0 && epoch_ == 0 && !claiming_)
+    if (owner_seen_ && owner_revision_ == 0 && epoch_ == 0 && !claiming_ &&
+        run_.now() >= free_since_ + call_.claim_delay())
         claim();
 }
 
@@ -145,12 +147,15 @@
 
 void leadership::on_owner_changed(const EntryRecord& owner,
                                   std::int64_t revision) {
-    owner_seen_ = true;
+    if (!std::exchange(owner_seen_, true))
+        free_since_ = run_.now();
     // A claim's own reply may come before the mirror shows an older owner.
     if (revision != 0 && revision < owner_revision_)
         return;
     const bool changed = revision != owner_revision_;
     owner_ = owner;
+    if (owner_revision_ != 0 && revision == 0)
+        free_since_ = run_.now();
     owner_revision_ = revision;
     if (epoch_ != 0 && revision != epoch_)
         resign("another entry owns the cell");
@@ -158,6 +163,7 @@
         run_.journal.event("owner_seen",
                            {{"owner", owner.name()}, {"epoch", revision}});
     if (!stopped_ && epoch_ == 0 && revision != 0 &&
+        revision != given_up_epoch_ &&
         owner.name() == self_.name() && owner.address() == self_.address() &&
         owner.incarnation() == self_.incarnation()) {
         epoch_ = revision;
@@ -167,6 +173,28 @@
     tick();
 }
 
+void leadership::hand_over() {
+    if (epoch_ == 0)
+        return;
+    given_up_epoch_ = epoch_;
+    store_transaction write;
+    write.expected.push_back({std::string(owner_key), epoch_});
+    write.removals.emplace_back(owner_key);
+    // Nothing is decided any more, whether or not the reply comes.
+    resign("a stronger entry is there");
+    store_.transact(write, call_timeout,
+                    [this, lease = lease_](const transaction_reply& reply) {
+                        if (reply.status != store_status::ok && lease == lease_)
+                            replace_lease();
+                    });
+}
+
+/// The key goes with its lease, at the latest when that runs out.
+void leadership::replace_lease() {
+    store_.end_lease(lease_, call_timeout, [](const lease_reply&) {});
+    drop_lease("the cell could not be handed over");
+}
+
 void leadership::on_own_entry_removed() {
     registered_ = false;
 }
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -212,7 +212,8 @@
     auto& s = o.servers[agent];
     s.agent = agent;
     s.failure_domain = report.failure_domain();
-    s.heard = true;
+    if (!std::exchange(s.heard, true))
+        o.new_server_at = o.run.now();
     s.heard_at = o.run.now();
     s.answered_sent_at_ms = report.sent_at_ms();
     if (!report.server().incarnation().empty())
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -11,7 +11,8 @@
 /// After a take-over the agents report within some tens of milliseconds; gangs
 /// that are placed before would get the servers that came first.
 constexpr duration shortest_settling_time{50};
-constexpr duration longest_settling_time{800};
+constexpr duration longest_settling_time{500};
+constexpr duration quiet_after_new_server{60};
 
 /// A gang that is spread over racks runs about three times as long. It waits
 /// for one rack as long as it would lose by that, and no longer than this.
@@ -385,8 +386,10 @@
 void schedule(owner& o) {
     if (o.run.now() < o.active_since + shortest_settling_time)
         return;
-    if (!o.expected_agents.empty() &&
-        o.run.now() < o.active_since + longest_settling_time)
+    const bool more_to_come =
+        !o.expected_agents.empty() ||
+        o.run.now() < o.new_server_at + quiet_after_new_server;
+    if (more_to_come && o.run.now() < o.active_since + longest_settling_time)
         return;
     end_old_reservations(o);
     const auto units = waiting_units(o);
--- a/modules/host/include/celerylift/host/fleet_settings.hpp
+++ b/modules/host/include/celerylift/host/fleet_settings.hpp
@@ -17,6 +17,9 @@
     base::address link;      // Where agents connect.
     base::address metrics;
     base::address store;
+    /// What this process may use; the entry that has most of it leads.
+    double processor_share = 1.0; // Of a core.
+    double link_mbps = 1000.0;
     /// Entries to ask first; some may be gone, and one is this.
     std::vector<base::address> entries;
 
--- a/modules/host/src/fleet_agent.cpp
+++ b/modules/host/src/fleet_agent.cpp
@@ -15,7 +15,7 @@
              }),
       server_(
           adapter::make_backend_server(frame_.client, settings.backend_server)),
-      node_(frame_.run, *server_, settings.failure_domain,
+      node_(frame_.run, *server_, settings.name, settings.failure_domain,
             make_peer_links(links_)) {}
 
 int fleet_agent::run() {
--- a/modules/host/src/fleet_entry.cpp
+++ b/modules/host/src/fleet_entry.cpp
@@ -20,6 +20,9 @@
     record.set_name(settings.name);
     record.set_address(to_string(settings.link));
     record.set_failure_domain(settings.failure_domain);
+    record.set_millicores(
+        static_cast<std::int64_t>(settings.processor_share * 1000));
+    record.set_link_mbps(static_cast<std::int64_t>(settings.link_mbps));
     record.set_incarnation(
         fmt::format("{}-{}", net::wall_now_ms(),
                     net::boottime_now().time_since_epoch().count()));
--- a/modules/host/src/fleet_settings.cpp
+++ b/modules/host/src/fleet_settings.cpp
@@ -8,6 +8,9 @@
 
 constexpr std::int64_t highest_port = 65'535;
 
+constexpr double most_cores = 1024;
+constexpr double fastest_link_mbps = 1e6;
+
 error settings_error(const base::settings_reader& reader) {
     return {error_kind::invalid_argument, reader.problem(), run_state::not_run,
             duration{0}};
@@ -46,6 +49,13 @@
     s.metrics = read_metrics(listen, ip);
     listen.finish();
     reader.finish(listen);
+    if (reader.has("limits")) {
+        auto limits = reader.section("limits");
+        s.processor_share = limits.decimal("processor_share", 0, most_cores);
+        s.link_mbps = limits.decimal("link_mbps", 0, fastest_link_mbps);
+        limits.finish();
+        reader.finish(limits);
+    }
     s.entries = read_entries(reader, s.link.port);
     reader.finish();
     if (!reader.problem().empty())
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -351,8 +351,11 @@
     f.store.watches_are_silent = true;
     for (int entry = 1; entry <= 3; ++entry) {
         f.hand_in(job_of(id_of(entry), "ms=200", 1, small), entry);
-        EXPECT_TRUE(f.wait_for(id_of(entry), fleet::JOB_COMPLETED,
-                               duration{400}, 4 - entry))
+        const auto shown = [&] {
+            return f.show(id_of(entry), 4 - entry).state ==
+                   fleet::JOB_COMPLETED;
+        };
+        EXPECT_TRUE(f.world.run_until(shown, duration{400}))
             << "handed in at entry " << entry;
     }
     expect_kept(f);
--- a/tests/fleet/virtual_fleet.cpp
+++ b/tests/fleet/virtual_fleet.cpp
@@ -63,6 +63,9 @@
     self.set_name(name);
     self.set_address(address_of(number));
     self.set_incarnation(std::to_string(++lives_));
+    self.set_link_mbps(1000);
+    if (const auto it = millicores.find(number); it != millicores.end())
+        self.set_millicores(it->second);
     p->node = std::make_unique<fleet::entry_node>(
         p->process->run, *p->client,
         fleet::entry_node_settings{
@@ -105,17 +108,19 @@
     p->client = servers_.at(number)->client(p->process->life());
     auto* raw = p.get();
     p->node = std::make_unique<fleet::agent_node>(
-        p->process->run, *p->client, "za-north-a",
-        fleet::peer_links{[raw](const std::string& address) {
-                              raw->connected.insert(address);
-                          },
-                          [raw](const std::string& address) {
-                              raw->connected.erase(address);
-                          },
-                          [this, number](const std::string& address,
-                                         const fleet::FleetEnvelope& envelope) {
-                              to_entry(number, address, envelope);
-                          }});
+        p->process->run, *p->client, name, "za-north-a",
+        fleet::peer_links{
+            [raw](const std::string& address) {
+                raw->connected.insert(address);
+            },
+            [raw](const std::string& address) {
+                raw->connected.erase(address);
+            },
+            [this, raw, number](const std::string& address,
+                                const fleet::FleetEnvelope& envelope) {
+                if (raw->connected.contains(address))
+                    to_entry(number, address, envelope);
+            }});
     world.add(p->process.get());
     agents_[number] = std::move(p);
     agents_[number]->node->start({address_of(1), address_of(2), address_of(3)});
@@ -176,7 +181,8 @@
         return;
     }
     world.after(link_delay, [this, entry, number, envelope] {
-        if (agents_.contains(number) && is_up(entry, number))
+        if (agents_.contains(number) && is_up(entry, number) &&
+            agents_.at(number)->connected.contains(address_of(entry)))
             agents_.at(number)->node->on_message(address_of(entry), envelope);
     });
 }
--- a/tests/fleet/virtual_fleet.hpp
+++ b/tests/fleet/virtual_fleet.hpp
@@ -33,6 +33,8 @@
     virtual_world world;
     virtual_store store{world};
     run_history history;
+    /// Of entries that are started from here on; none is equal to all others.
+    std::map<int, std::int64_t> millicores;
 
     /// Ends a process at once.
     void kill_entry(int number);
