Wake a process when its timers are due, not at its next tick

Cause: timers were looked at each 20 ms, so a pass over the work that waits came up to 20 ms late, and an idle process woke 50 times a second. Change: the timer service says when a call is due before all others, and the loop's alarm wakes the process then; the tick is 50 ms, for signals and for clocks that count while the host is suspended. Test: timer_test.

--- a/modules/base/include/celerylift/base/timer_service.hpp
+++ b/modules/base/include/celerylift/base/timer_service.hpp
@@ -27,6 +27,10 @@
     /// Calls everyone whose time has come, in order of time.
     void advance(time_point now);
 
+    /// Calls `sooner` whenever a call is asked for that is due before all
+    /// others, so that whoever advances this service can do it in time.
+    void on_sooner(std::function<void(time_point)> sooner);
+
     /// When the next call is due.
     std::optional<time_point> next() const;
 
@@ -37,7 +41,10 @@
         callback call;
     };
 
+    subscription add(time_point at, duration period, callback call);
+
     std::multimap<time_point, entry> due_;
+    std::function<void(time_point)> sooner_;
     subscription last_ = 0;
 };
 
--- a/modules/base/src/timer_service.cpp
+++ b/modules/base/src/timer_service.cpp
@@ -2,15 +2,26 @@
 
 namespace celerylift::base {
 
+timer_service::subscription
+timer_service::add(time_point at, duration period, callback call) {
+    const auto it = due_.emplace(at, entry{++last_, period, std::move(call)});
+    const auto id = last_;
+    if (it == due_.begin() && sooner_)
+        sooner_(at);
+    return id;
+}
+
 timer_service::subscription
 timer_service::every(time_point now, duration period, callback call) {
-    due_.emplace(now + period, entry{++last_, period, std::move(call)});
-    return last_;
+    return add(now + period, period, std::move(call));
 }
 
 timer_service::subscription timer_service::once(time_point at, callback call) {
-    due_.emplace(at, entry{++last_, duration{0}, std::move(call)});
-    return last_;
+    return add(at, duration{0}, std::move(call));
+}
+
+void timer_service::on_sooner(std::function<void(time_point)> sooner) {
+    sooner_ = std::move(sooner);
 }
 
 void timer_service::cancel(subscription id) {
--- a/modules/host/include/celerylift/host/process_frame.hpp
+++ b/modules/host/include/celerylift/host/process_frame.hpp
@@ -7,6 +7,7 @@
 #include <celerylift/net/http_front.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace celerylift::host {
@@ -28,6 +29,9 @@
     fleet::runtime run;
 
 private:
+    void wake_at(time_point at);
+
+    std::optional<time_point> wakes_at_;
     std::unique_ptr<net::http_front> metrics_front_;
 };
 
--- a/modules/host/src/process_frame.cpp
+++ b/modules/host/src/process_frame.cpp
@@ -1,11 +1,15 @@
 #include <celerylift/host/process_frame.hpp>
 
+#include <algorithm>
+
 namespace celerylift::host {
 
 namespace {
 
-/// Fine enough for pauses of a tenth of a second; each tick costs a wake-up.
-constexpr duration tick_period{20};
+/// For signals, and for clocks that count while the host is suspended; timers
+/// wake the process when they are due.
+constexpr duration tick_period{50};
+constexpr duration shortest_wait{1};
 
 } // namespace
 
@@ -14,6 +18,20 @@
       client(loop), run{timers, &net::boottime_now, &net::wall_now_ms, journal,
                         metrics} {
     loop.every(tick_period, [this] { timers.advance(net::boottime_now()); });
+    timers.on_sooner([this](time_point at) { wake_at(at); });
+}
+
+void process_frame::wake_at(time_point at) {
+    if (wakes_at_ && *wakes_at_ <= at)
+        return;
+    wakes_at_ = at;
+    const auto wait = std::max(at - net::boottime_now(), shortest_wait);
+    loop.set_alarm(wait, [this] {
+        wakes_at_.reset();
+        timers.advance(net::boottime_now());
+        if (const auto next = timers.next())
+            wake_at(*next);
+    });
 }
 
 void process_frame::serve_metrics(const base::address& at) {
--- a/modules/net/include/celerylift/net/control_loop.hpp
+++ b/modules/net/include/celerylift/net/control_loop.hpp
@@ -32,6 +32,10 @@
     /// Calls `tick` every `period`.
     void every(duration period, std::function<void()> tick);
 
+    /// Calls `ring` once after `delay`, in place of an earlier alarm that has
+    /// not rung yet.
+    void set_alarm(duration delay, std::function<void()> ring);
+
     /// Calls `input` whenever the descriptor becomes readable.
     void watch(ACE_HANDLE handle, std::function<void()> input);
 
@@ -81,6 +85,8 @@
     std::atomic<bool> stop_asked_ = false;
     std::atomic<bool> reload_asked_ = false;
     long timer_ = -1;
+    std::function<void()> ring_;
+    long alarm_ = -1;
 };
 
 /// Now, by a clock that is not set back.
--- a/modules/net/src/control_loop.cpp
+++ b/modules/net/src/control_loop.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <ctime>
 #include <memory>
+#include <utility>
 
 namespace celerylift::net {
 
@@ -28,6 +29,15 @@
     std::function<void()> input_;
 };
 
+namespace {
+
+ACE_Time_Value to_time_value(duration time) {
+    return ACE_Time_Value(static_cast<time_t>(time.count() / 1000),
+                          static_cast<suseconds_t>(time.count() % 1000 * 1000));
+}
+
+} // namespace
+
 control_loop::control_loop()
     : implementation_(nullptr, &timers_), reactor_(&implementation_) {
     reactor(&reactor_);
@@ -37,8 +47,9 @@
     for (const auto& input : inputs_)
         reactor_.remove_handler(input.get(), ACE_Event_Handler::READ_MASK |
                                                  ACE_Event_Handler::DONT_CALL);
-    if (timer_ >= 0)
-        reactor_.cancel_timer(timer_);
+    for (const auto timer : {timer_, alarm_})
+        if (timer >= 0)
+            reactor_.cancel_timer(timer);
 }
 
 void control_loop::post(std::function<void()> work) {
@@ -70,13 +81,24 @@
 
 void control_loop::every(duration period, std::function<void()> tick) {
     tick_ = std::move(tick);
-    const ACE_Time_Value interval(
-        static_cast<time_t>(period.count() / 1000),
-        static_cast<suseconds_t>(period.count() % 1000 * 1000));
+    const auto interval = to_time_value(period);
     timer_ = reactor_.schedule_timer(this, nullptr, interval, interval);
 }
 
-int control_loop::handle_timeout(const ACE_Time_Value&, const void*) {
+void control_loop::set_alarm(duration delay, std::function<void()> ring) {
+    if (alarm_ >= 0)
+        reactor_.cancel_timer(alarm_);
+    ring_ = std::move(ring);
+    alarm_ = reactor_.schedule_timer(this, &ring_, to_time_value(delay));
+}
+
+int control_loop::handle_timeout(const ACE_Time_Value&, const void* what) {
+    if (what == &ring_) {
+        alarm_ = -1;
+        const auto ring = std::exchange(ring_, {});
+        ring();
+        return 0;
+    }
     run_posted();
     if (stop_asked_.exchange(false))
         stop_();
--- /dev/null
+++ b/tests/fleet/timer_test.cpp
@@ -0,0 +1,48 @@
+// A process's timers: they wake it when they are due, not at its next tick.
+#include <celerylift/base/timer_service.hpp>
+#include <celerylift/net/control_loop.hpp>
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace celerylift::test {
+
+namespace {
+
+using base::timer_service;
+
+time_point at(int ms) {
+    return time_point{duration{ms}};
+}
+
+} // namespace
+
+TEST(a_timer_service, says_when_a_call_is_due_before_all_others) {
+    timer_service timers;
+    std::vector<time_point> sooner;
+    timers.on_sooner([&](time_point t) { sooner.push_back(t); });
+    timers.once(at(50), [](time_point) {});
+    timers.once(at(80), [](time_point) {});
+    timers.once(at(20), [](time_point) {});
+    EXPECT_EQ(sooner, (std::vector{at(50), at(20)}));
+}
+
+TEST(a_control_loop, rings_an_alarm_once_and_forgets_one_that_is_replaced) {
+    net::control_loop loop;
+    int replaced = 0;
+    int rung = 0;
+    loop.set_alarm(duration{1}, [&] { ++replaced; });
+    loop.set_alarm(duration{5}, [&] {
+        ++rung;
+        loop.set_alarm(duration{5}, [&] {
+            ++rung;
+            loop.end();
+        });
+    });
+    loop.run();
+    EXPECT_EQ(rung, 2);
+    EXPECT_EQ(replaced, 0);
+}
+
+} // namespace celerylift::test
