Follow the cell's owner apart from its jobs

Cause: one watch served owner, entries and all jobs; on a busy cell it paused 0.1 s after each change, so a free cell was noticed, a claim was confirmed and agents were told each up to 0.1 s late. Change: owner and entries have keys and a watch of their own, without pause. A new owner asks for the jobs' changes at once instead of waiting for the watch.

--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -57,7 +57,8 @@
 private:
     bool is_first_entry(const std::string& address) const;
     void follow_entries();
-    void take_change(const store_change& change);
+    void take_cell(const store_change& change);
+    void take_job(const store_change& change);
     void take_entry(const store_change& change);
     void take_config(const store_change& change);
     void follow_owner();
@@ -81,6 +82,7 @@
     owner owner_;
     front front_;
     mirror cell_mirror_;
+    mirror job_mirror_;
     mirror config_mirror_;
     entry_records entries_;
     std::uint64_t entries_version_ = 0; // The same wherever the list is.
--- a/modules/fleet/include/celerylift/fleet/mirror.hpp
+++ b/modules/fleet/include/celerylift/fleet/mirror.hpp
@@ -17,8 +17,9 @@
     using listener = std::function<void(const store_change&)>;
 
     /// `progressed` is called whenever all changes up to as_of() are seen.
-    mirror(runtime& run, store& from, std::string prefix, listener changed,
-           std::function<void()> progressed = {});
+    /// Changes of `gathering` come with one call.
+    mirror(runtime& run, store& from, std::string prefix, duration gathering,
+           listener changed, std::function<void()> progressed = {});
 
     /// Begins to follow; goes on until the mirror is destroyed.
     void start();
@@ -26,6 +27,9 @@
     /// Takes over an item that was read or written some other way.
     void observe(const store_item& item);
 
+    /// Asks for what has changed without waiting for more, beside the watch.
+    void catch_up();
+
     /// Whether all keys have been read once.
     bool is_loaded() const { return loaded_; }
 
@@ -41,12 +45,14 @@
     void finish_reading();
     void wait_for_changes();
     void take_changes(const watch_reply& reply);
+    void take_changes_up_to_now(const watch_reply& reply);
     void retry(void (mirror::*step)());
     void apply(const store_change& change);
 
     runtime& run_;
     store& store_;
     std::string prefix_;
+    duration gathering_;
     listener changed_;
     std::function<void()> progressed_;
     std::map<std::string, std::int64_t> revisions_;
@@ -55,6 +61,7 @@
     std::string read_up_to_;
     std::map<std::string, std::int64_t> read_now_;
     bool loaded_ = false;
+    bool catching_up_ = false;
     bool reachable_ = true;
     time_point last_answer_{};
 };
--- a/modules/fleet/include/celerylift/fleet/names.hpp
+++ b/modules/fleet/include/celerylift/fleet/names.hpp
@@ -9,14 +9,14 @@
 
 /// Where the cell keeps what has to last, in the platform's store:
 ///
-///   cl/owner          EntryRecord, under its entry's store lease
-///   cl/entry/NAME     EntryRecord, under its entry's store lease
-///   cl/job/ID/in      Submission, written once by any entry
-///   cl/job/ID/stop    written by any entry when the job is cancelled
-///   cl/job/ID/state   Progress, written by the owner alone
-inline constexpr std::string_view cell_prefix = "cl/";
-inline constexpr std::string_view owner_key = "cl/owner";
-inline constexpr std::string_view entry_prefix = "cl/entry/";
+///   cl/cell/owner        EntryRecord, under its entry's store lease
+///   cl/cell/entry/NAME   EntryRecord, under its entry's store lease
+///   cl/job/ID/in         Submission, written once by any entry
+///   cl/job/ID/stop       written by any entry when the job is cancelled
+///   cl/job/ID/state      Progress, written by the owner alone
+inline constexpr std::string_view cell_prefix = "cl/cell/";
+inline constexpr std::string_view owner_key = "cl/cell/owner";
+inline constexpr std::string_view entry_prefix = "cl/cell/entry/";
 inline constexpr std::string_view job_prefix = "cl/job/";
 
 enum class job_part { submission, cancellation, progress };
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr duration owner_tick{100};
+/// Each entry's watch returns at each write; entries tell each other besides
+/// of what can't wait.
+constexpr duration jobs_gathering{100};
 /// A watch may stay silent although the configuration has changed.
 constexpr duration config_check{800};
 constexpr duration config_read_timeout{700};
@@ -77,11 +80,15 @@
       front_{run, records_, nullptr, &directory_,
              [this](const store_item& item) { tell_entries({item}); }},
       cell_mirror_(
-          run, records_, std::string(cell_prefix),
-          [this](const store_change& change) { take_change(change); },
+          run, records_, std::string(cell_prefix), duration{0},
+          [this](const store_change& change) { take_cell(change); },
           [this] { follow_owner(); }),
+      job_mirror_(
+          run, records_, std::string(job_prefix), jobs_gathering,
+          [this](const store_change& change) { take_job(change); },
+          [this] { gain_cell(); }),
       config_mirror_(
-          run, records_, settings_.config_key,
+          run, records_, settings_.config_key, duration{0},
           [this](const store_change& change) { take_config(change); }) {
     std::erase(settings_.first_entries, settings_.self.address());
 }
@@ -97,6 +104,7 @@
     follow_entries();
     records_.start();
     cell_mirror_.start();
+    job_mirror_.start();
     config_mirror_.start();
     leadership_.start();
     run_.timers.every(run_.now(), owner_tick,
@@ -114,6 +122,7 @@
 
 void entry_node::tick() {
     on_tick(owner_);
+    gain_cell();
     std::erase_if(agents_, [this](const auto& a) {
         return run_.now() > a.second.heard_at + agent_memory;
     });
@@ -126,11 +135,11 @@
 }
 
 bool entry_node::is_ready() const {
-    return !stopping_ && config_ && cell_mirror_.is_loaded() &&
-           run_.now() < cell_mirror_.last_answer() + longest_store_silence;
+    return !stopping_ && config_ && job_mirror_.is_loaded() &&
+           run_.now() < job_mirror_.last_answer() + longest_store_silence;
 }
 
-void entry_node::take_change(const store_change& change) {
+void entry_node::take_cell(const store_change& change) {
     const auto& item = change.item;
     if (item.key == owner_key) {
         owner_record_.Clear();
@@ -141,7 +150,10 @@
         return;
     }
     if (item.key.starts_with(entry_prefix))
-        return take_entry(change);
+        take_entry(change);
+}
+
+void entry_node::take_job(const store_change& change) {
     const auto id = apply(directory_, change);
     if (!id || change.removed || owner_.epoch == 0)
         return;
@@ -190,9 +202,10 @@
 void entry_node::gain_cell() {
     // All that former owners have written is seen once the mirror is past
     // this owner's own first write.
-    if (gained_epoch_ == 0 || owner_.epoch == gained_epoch_ ||
-        cell_mirror_.as_of() < gained_epoch_)
+    if (gained_epoch_ == 0 || owner_.epoch == gained_epoch_)
         return;
+    if (job_mirror_.as_of() < gained_epoch_)
+        return job_mirror_.catch_up();
     owner_.config = config_;
     std::set<std::string> expected;
     for (const auto& [agent, known] : agents_)
@@ -273,7 +286,7 @@
         const auto key = parse_job_key(item.key);
         const auto before = key ? shown_state(directory_, key->id)
                                 : std::optional<JobState>{};
-        cell_mirror_.observe(item);
+        job_mirror_.observe(item);
         const auto after = key ? shown_state(directory_, key->id)
                                : std::optional<JobState>{};
         if (after == before)
@@ -295,7 +308,7 @@
 void entry_node::take_notice(const Notice& notice) {
     for (const auto& item : notice.items())
         if (parse_job_key(item.key()))
-            cell_mirror_.observe({item.key(), item.value(), item.revision()});
+            job_mirror_.observe({item.key(), item.value(), item.revision()});
 }
 
 void entry_node::serve_store_call(const std::string& entry,
--- a/modules/fleet/src/mirror.cpp
+++ b/modules/fleet/src/mirror.cpp
@@ -1,5 +1,7 @@
 #include <celerylift/fleet/mirror.hpp>
 
+#include <utility>
+
 namespace celerylift::fleet {
 
 namespace {
@@ -9,18 +11,18 @@
 /// nothing else shows that its connection is dead.
 constexpr duration watch_wait{1500};
 constexpr duration watch_timeout{2200};
-/// Changes of this time come with one call: each entry's watch returns at each
-/// write, and entries tell each other of what they write besides.
-constexpr duration gathering_pause{100};
+/// A call that is to return at once; the interface takes no shorter wait.
+constexpr duration no_wait{1};
 /// Between two tries at a store that refuses or doesn't answer.
 constexpr duration retry_pause{150};
 
 } // namespace
 
-mirror::mirror(runtime& run, store& from, std::string prefix, listener changed,
+mirror::mirror(runtime& run, store& from, std::string prefix,
+               duration gathering, listener changed,
                std::function<void()> progressed)
     : run_(run), store_(from), prefix_(std::move(prefix)),
-      changed_(std::move(changed)), progressed_(std::move(progressed)) {}
+      gathering_(gathering), changed_(std::move(changed)), progressed_(std::move(progressed)) {}
 
 void mirror::start() {
     reading_as_of_ = 0;
@@ -98,15 +100,30 @@
         run_.journal.event("store_regained",
                            {{"prefix", prefix_}, {"as_of", reply.as_of}});
     reachable_ = true;
+    take_changes_up_to_now(reply);
+    if (reply.changes.empty() || gathering_ == duration{0})
+        return wait_for_changes();
+    run_.timers.once(run_.now() + gathering_,
+                     [this](time_point) { wait_for_changes(); });
+}
+
+void mirror::take_changes_up_to_now(const watch_reply& reply) {
     for (const auto& change : reply.changes)
         apply(change);
     as_of_ = std::max(as_of_, reply.as_of);
     if (progressed_)
         progressed_();
-    if (reply.changes.empty())
-        return wait_for_changes();
-    run_.timers.once(run_.now() + gathering_pause,
-                     [this](time_point) { wait_for_changes(); });
+}
+
+void mirror::catch_up() {
+    if (!loaded_ || std::exchange(catching_up_, true))
+        return;
+    store_.watch(prefix_, as_of_, no_wait, read_timeout,
+                 [this](const watch_reply& reply) {
+                     catching_up_ = false;
+                     if (reply.status == store_status::ok)
+                         take_changes_up_to_now(reply);
+                 });
 }
 
 void mirror::observe(const store_item& item) {
