Leave out servers on which runs fail at once, until a probe shows better

A failure only made a server the last choice for 5 s. Ruled out: hopeless jobs; jobs that failed by their own fault did so 0.8 s or more after their beginning, at any moment of their work. Change: a server on which a run fails within 0.3 s of being seen, or three in a row fail, or a task stands still, gets no work for 2 s, doubling to 16 s, and then one task that can afford an attempt. A run that is done, or makes progress for a second, clears it. Gangs wait up to 3 s for trusted servers; work that has failed before goes to proven ones first.

--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -43,6 +43,7 @@
     int first_percent = 0;
     std::int64_t first_seen_ms = 0;
     time_point assigned_at{};
+    time_point seen_at{}; // Running, for the first time in this run.
     time_point waiting_since{};
     std::string avoid_agent; // Where it failed or stood still last.
 };
--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -6,6 +6,7 @@
 #include <celerylift/fleet/placement.hpp>
 #include <celerylift/fleet/runtime.hpp>
 #include <celerylift/fleet/store.hpp>
+#include <celerylift/fleet/suspicion.hpp>
 
 #include <fleet.pb.h>
 
@@ -59,7 +60,7 @@
     std::int64_t applied_up_to = 0;
     std::int64_t noted_up_to = 0;
     std::deque<applied_end> unstored_ends;
-    time_point distrusted_until{};
+    soundness sound;
 };
 
 /// Room that is kept for tasks until what runs there has ended.
--- a/modules/fleet/include/celerylift/fleet/placement.hpp
+++ b/modules/fleet/include/celerylift/fleet/placement.hpp
@@ -22,6 +22,9 @@
     resources free;
     /// Below 1 where it has lately failed, stood still or been slow.
     double trust = 1.0;
+    bool proven = false; // Of late, by a run.
+    /// Has to show itself with one task before it is given more.
+    bool on_probation = false;
     std::size_t rack_number = 0;
     bool withheld = false; // From the work that is being placed.
 };
@@ -43,6 +46,12 @@
     /// in only where most_per_server limits them.
     std::vector<std::pair<std::string, int>> running;
     std::set<std::string, std::less<>> avoid;
+    /// For work that has failed before: servers that are proven go first.
+    bool careful = false;
+    /// For work that a slow or failing server would hold up as a whole.
+    bool trusted_only = false;
+    /// Whether it may be tried on a server that is on probation.
+    bool may_probe = false;
 };
 
 /// For each task the index of its server; empty where they don't all fit.
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// A failed run makes its server the last choice for this long: long enough
-/// to spare a job's second attempt, short enough to try the server again.
-constexpr duration distrust_after_failure{5000};
-
 /// A run counts for this share of what is learned.
 constexpr int learning_steps = 5;
 /// The longest run of a queue is forgotten over some tens of runs.
@@ -77,7 +73,18 @@
 }
 
 void count_failure(owner& o, server& s, job& j, task& t) {
-    s.distrusted_until = o.run.now() + distrust_after_failure;
+    const auto now = o.run.now();
+    const bool excluded = is_excluded(s.sound, now);
+    note_failure(s.sound, now,
+                 t.seen_running ? now - t.seen_at : duration{0});
+    if (!excluded && is_excluded(s.sound, now)) {
+        o.run.journal.event("server_excluded",
+                            {{"agent", s.agent},
+                             {"task", to_string(t.name)},
+                             {"failures_in_row", s.sound.failures_in_row},
+                             {"for_ms", (s.sound.excluded_until - now).count()}});
+        o.run.metrics.count("servers_excluded_total");
+    }
     t.avoid_agent = t.agent;
     if (!step_of(j, t.name).gang()) {
         ++t.failures;
@@ -123,7 +130,7 @@
 }
 
 void end_done(owner& o, server& s, job& j, task& t, int run) {
-    s.distrusted_until = {};
+    note_done(s.sound, o.run.now());
     learn_run(o, j, t);
     if (step_of(j, t.name).lasting())
         return wait_again(o, t);
--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -22,7 +22,6 @@
 /// A task that has stood still elsewhere as well may just be far longer than
 /// others: each time doubles its limit, up to this many times.
 constexpr int most_doublings = 6;
-constexpr duration distrust_after_standstill{8000};
 
 /// A server is slow if a task there takes this many times as long as its
 /// siblings on other servers. They have the same work.
@@ -31,7 +30,6 @@
 /// of its declared time. Jobs differ in size, all tasks of a job alike.
 constexpr double slow_beside_others = 2.5;
 constexpr int least_siblings = 2;
-constexpr duration distrust_while_slow{3000};
 
 /// A task leaves a slow server if what is left would take this many times
 /// longer than a new start elsewhere.
@@ -65,16 +63,19 @@
     return here ? t : nullptr;
 }
 
-void take_progress(owner& o, const server& s, task& t, int percent) {
+void take_progress(owner& o, server& s, task& t, int percent) {
     if (!t.seen_running) {
         o.run.journal.event(
             "run_seen",
             {{"task", to_string(t.name)}, {"run", t.run}, {"agent", s.agent}});
         t.first_percent = percent;
         t.first_seen_ms = s.lists_as_of_ms;
+        t.seen_at = o.run.now();
     }
     t.seen_running = true;
     t.percent = percent;
+    if (percent > t.first_percent && shows_soundness(o.run.now() - t.seen_at))
+        note_long_run(s.sound, o.run.now());
 }
 
 bool can_be_judged(const job& j, const task& t) {
@@ -105,7 +106,7 @@
         return;
     ++t.standstills;
     t.avoid_agent = t.agent;
-    s.distrusted_until = o.run.now() + distrust_after_standstill;
+    note_standstill(s.sound, o.run.now());
     o.run.journal.event("run_stands_still",
                         {{"task", to_string(t.name)},
                          {"run", t.run},
@@ -227,7 +228,7 @@
     if (slowest == tasks.end())
         return;
     const auto& witness = **slowest;
-    if (o.run.now() >= s.distrusted_until)
+    if (!is_distrusted(s.sound, o.run.now()))
         o.run.journal.event(
             "server_is_slow",
             {{"agent", s.agent},
@@ -235,8 +236,7 @@
              {"whole_ms", static_cast<std::int64_t>(whole_time(s, witness))},
              {"expected_ms",
               static_cast<std::int64_t>(expected(witness).whole_ms)}});
-    s.distrusted_until =
-        std::max(s.distrusted_until, o.run.now() + distrust_while_slow);
+    note_slowness(s.sound, o.run.now());
     for (auto* t : tasks) {
         auto& j = o.jobs.at(t->name.job);
         if (can_be_judged(j, *t))
--- a/modules/fleet/src/owner_rooms.cpp
+++ b/modules/fleet/src/owner_rooms.cpp
@@ -39,6 +39,15 @@
            !s.state.departed() && now <= s.heard_at + usable_silence;
 }
 
+/// Whether a task that was started since its last exclusion will show whether
+/// a server is sound.
+bool is_probed(const server& s) {
+    return s.sound.on_probation &&
+           std::ranges::any_of(s.assigned, [&](const auto& held) {
+               return held.second.what->assigned_at >= s.sound.excluded_until;
+           });
+}
+
 } // namespace
 
 schedule_pass begin_pass(owner& o) {
@@ -46,7 +55,7 @@
     std::unordered_map<std::string_view, std::size_t> racks;
     const auto now = o.run.now();
     for (auto& [agent, s] : o.servers) {
-        if (!is_usable(s, now))
+        if (!is_usable(s, now) || is_excluded(s.sound, now) || is_probed(s))
             continue;
         refresh(o, s);
         if (!s.used.known)
@@ -60,7 +69,9 @@
         r.capacity = from_record(s.state.capacity());
         r.free = r.capacity;
         r.free -= s.used.taken;
-        r.trust = now < s.distrusted_until ? 0.0 : 1.0;
+        r.trust = is_distrusted(s.sound, now) ? 0.0 : 1.0;
+        r.proven = is_proven(s.sound, now);
+        r.on_probation = s.sound.on_probation;
         p.index.emplace(agent, p.rooms.size());
         p.rooms.push_back(r);
         p.servers.push_back(&s);
@@ -82,7 +93,9 @@
            (more.same_rack || !less.same_rack) &&
            more.required_label == less.required_label &&
            more.most_per_server == less.most_per_server &&
-           more.running == less.running;
+           more.running == less.running &&
+           (more.trusted_only || !less.trusted_only) &&
+           (less.may_probe || !more.may_probe);
 }
 
 } // namespace celerylift::fleet
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -19,6 +19,10 @@
 constexpr int spread_factor = 3;
 constexpr duration longest_rack_wait{12'000};
 
+/// A gang goes at the pace of its slowest member and fails with any: it waits
+/// for servers that are trusted, up to this time.
+constexpr duration longest_wait_for_trusted{3000};
+
 /// Patient work leaves the emptiest rack free for this share of the time that
 /// its tasks usually run. Its objective is several times that, and urgent work
 /// that finds room needs no stop, which alone may cost it its objective.
@@ -239,6 +243,8 @@
                int run) {
     auto& s = *p.servers[at];
     p.rooms[at].free -= need_of(step_of(j, t.name));
+    if (p.rooms[at].on_probation)
+        p.rooms[at].free = {};
     if (p.urgent_use && priority_of(o, j) == 0)
         (*p.urgent_use)[j.submission.organisation()] +=
             need_of(step_of(j, t.name)).accelerators;
@@ -274,6 +280,9 @@
         if (!t.avoid_agent.empty())
             request.avoid.insert(t.avoid_agent);
     }
+    request.careful = !request.avoid.empty();
+    request.trusted_only =
+        waited(o, tasks.front()) < longest_wait_for_trusted;
     const bool patient = has_been_patient(o, j, unit, tasks.front());
     relax_rack(o, j, unit, p.rooms, tasks.front(), request);
     relax_avoidance(p.rooms, request);
@@ -307,6 +316,11 @@
     return waiting;
 }
 
+/// A probe may cost the task an attempt, so it must not be its last one.
+bool may_probe(const owner& o, const job& j, const std::string& avoid) {
+    return avoid.empty() && queue_of(o, j)->most_attempts > 1;
+}
+
 /// Places tasks from `next` on that avoid the same server. Returns how many.
 std::size_t place_alike(owner& o, schedule_pass& p, job& j,
                         const waiting_unit& unit,
@@ -316,6 +330,8 @@
     auto request = request_for(o, j, j.occurrences[unit.occurrence], unit.step);
     if (!avoid.empty())
         request.avoid.insert(avoid);
+    request.careful = !avoid.empty();
+    request.may_probe = may_probe(o, j, avoid);
     relax_avoidance(p.rooms, request);
     const auto alike = std::find_if(
         tasks.begin() + static_cast<std::ptrdiff_t>(next), tasks.end(),
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -25,16 +25,18 @@
 
 /// How many of the tasks a server takes now.
 std::int64_t slots_on(const room& r, const placement_request& request) {
+    const auto most = r.on_probation ? 1 : request.count;
     const auto slots =
-        std::min<std::int64_t>(slots_in(r.free, request.each), request.count);
+        std::min<std::int64_t>(slots_in(r.free, request.each), most);
     if (request.most_per_server == 0)
         return slots;
     return std::clamp<std::int64_t>(
         request.most_per_server - already_running(r, request), 0, slots);
 }
 
-/// Lower is better: trusted servers, the preferred rack, then the tightest.
-using preference = std::tuple<bool, bool, std::int64_t, std::int64_t>;
+/// Lower is better: trusted servers, proven ones for careful work, the
+/// preferred rack, then the tightest.
+using preference = std::tuple<bool, bool, bool, std::int64_t, std::int64_t>;
 
 bool is_far(const room& r, const placement_request& request) {
     return !request.preferred_rack.empty() && r.rack != request.preferred_rack;
@@ -73,7 +75,8 @@
     g.slots += slots;
     if (slots > 0)
         g.members.push_back(
-            {{distrusted, far, r.free.accelerators, r.free.millicores},
+            {{distrusted, request.careful && !r.proven, far,
+              r.free.accelerators, r.free.millicores},
              index,
              slots});
 }
@@ -123,6 +126,10 @@
 bool is_eligible(const room& r, const placement_request& request) {
     if (r.service != request.service || !fits(request.each, r.capacity))
         return false;
+    if (r.on_probation && !request.may_probe)
+        return false;
+    if (request.trusted_only && r.trust < least_trust)
+        return false;
     if (!request.avoid.empty() && request.avoid.contains(r.agent))
         return false;
     return request.required_label.empty() ||
--- /dev/null
+++ b/tests/fleet/suspicion_test.cpp
@@ -0,0 +1,114 @@
+// What the owner makes of failures: bad servers are left out, sound ones on
+// which jobs fail by their own fault are not.
+#include "virtual_fleet.hpp"
+
+#include <celerylift/fleet/suspicion.hpp>
+
+#include <gtest/gtest.h>
+
+#include <fmt/format.h>
+
+namespace celerylift::test {
+
+namespace {
+
+using fleet::soundness;
+
+constexpr time_point start{duration{100'000}};
+constexpr duration at_once{30};
+constexpr duration late{4000};
+constexpr fleet::resources small{8'000, 16'000, 1};
+constexpr fleet::resources whole_server{64'000, 100'000, 8};
+
+std::string id_of(int n) {
+    return fmt::format("{:016x}", n);
+}
+
+} // namespace
+
+// ---- The decisions ----
+
+TEST(a_server, on_which_a_run_fails_at_once_is_left_out_for_a_growing_while) {
+    soundness s;
+    note_failure(s, start, at_once);
+    EXPECT_TRUE(is_excluded(s, start + duration{1900}));
+    EXPECT_FALSE(is_excluded(s, start + duration{2100}));
+    EXPECT_TRUE(s.on_probation);
+    const auto again = start + duration{2200};
+    note_failure(s, again, late);
+    EXPECT_TRUE(is_excluded(s, again + duration{3900}));
+}
+
+TEST(a_server, on_which_a_run_fails_late_is_used_as_before) {
+    soundness s;
+    note_failure(s, start, late);
+    EXPECT_FALSE(is_excluded(s, start));
+    EXPECT_FALSE(is_distrusted(s, start));
+}
+
+TEST(a_server, on_which_run_after_run_fails_late_is_left_out) {
+    soundness s;
+    note_failure(s, start, late);
+    note_failure(s, start, late);
+    EXPECT_TRUE(is_distrusted(s, start));
+    note_failure(s, start, late);
+    EXPECT_TRUE(is_excluded(s, start));
+}
+
+TEST(a_server, is_used_again_once_a_run_is_done) {
+    soundness s;
+    note_failure(s, start, at_once);
+    note_done(s, start + duration{2500});
+    EXPECT_FALSE(s.on_probation);
+    EXPECT_TRUE(is_proven(s, start + duration{2600}));
+}
+
+TEST(a_server, is_not_cleared_by_runs_that_began_before_its_failures) {
+    soundness s;
+    note_failure(s, start, at_once);
+    note_long_run(s, start + duration{100});
+    EXPECT_TRUE(is_excluded(s, start + duration{200}));
+    EXPECT_TRUE(s.on_probation);
+}
+
+TEST(a_server, that_is_slow_stays_distrusted_while_its_runs_go_on) {
+    soundness s;
+    note_slowness(s, start);
+    note_long_run(s, start + duration{100});
+    EXPECT_TRUE(is_distrusted(s, start + duration{200}));
+}
+
+// ---- In a fleet ----
+
+// A full fleet in which one server fails all that it starts: it was always
+// free, so all that waited was sent there and lost its attempts.
+TEST(a_full_fleet, gives_a_server_that_fails_everything_only_probes) {
+    virtual_fleet f;
+    f.server(1).fails_everything = true;
+    for (int n = 1; n <= 30; ++n)
+        f.hand_in_later(job_of(id_of(n), "ms=400", 1, whole_server), 1,
+                        "kwela-key", "/normal/");
+    f.world.run_for(duration{6000});
+    EXPECT_LE(f.history.failures, 3);
+    for (int n = 1; n <= 30; ++n)
+        EXPECT_TRUE(f.wait_for(id_of(n), fleet::JOB_COMPLETED, duration{4000}))
+            << n;
+}
+
+TEST(a_full_fleet, sends_no_gang_to_a_server_on_probation) {
+    virtual_fleet f;
+    f.server(1).fails_everything = true;
+    f.hand_in(job_of(id_of(1), "ms=300", 48, small));
+    f.wait_for(id_of(1), fleet::JOB_COMPLETED);
+    f.hand_in(job_of(id_of(2), "ms=6000", 1, whole_server));
+    f.world.run_until([&] { return f.history.at_work.size() == 1; },
+                      duration{3000});
+    const int failures = f.history.failures;
+    auto gang = gang_of(id_of(3), "ms=300", 5, whole_server);
+    gang.mutable_steps(0)->set_same_rack(false);
+    f.hand_in(gang);
+    EXPECT_TRUE(f.wait_for(id_of(3), fleet::JOB_COMPLETED, duration{9000}));
+    EXPECT_EQ(f.history.failures, failures);
+}
+
+} // namespace celerylift::test
--- a/tests/fleet/virtual_server.cpp
+++ b/tests/fleet/virtual_server.cpp
@@ -152,6 +152,7 @@
 void virtual_server::end(const key& which, fleet::RunEnd how) {
     runs_.erase(which);
     history_.at_work.erase(which.first);
+    history_.failures += how == fleet::RUN_FAILED ? 1 : 0;
     barred_up_to_[which.first] =
         std::max(barred_up_to_[which.first], which.second);
     fleet::EndedTask e;
--- a/tests/fleet/virtual_server.hpp
+++ b/tests/fleet/virtual_server.hpp
@@ -34,6 +34,7 @@
     std::map<std::string, std::vector<done_run>> done;
     std::vector<std::string> broken;
     int starts = 0;
+    int failures = 0;
     std::vector<duration> resumed_from;          // By starts with a checkpoint.
     std::map<std::string, std::string> payloads; // What was handed in.
 };
