--- a/modules/base/src/settings_reader.cpp
+++ b/modules/base/src/settings_reader.cpp
@@ -122,9 +122,9 @@
     const auto parsed = std::strtod(value.c_str(), &end);
     const bool whole = !value.empty() && *end == '\0';
     if (!whole || !(parsed >= low && parsed <= high))
-        refuse(key, "'" + value + "'",
-               fmt::format("a number from {} to {}, without a unit", low,
-                           high));
+        refuse(
+            key, "'" + value + "'",
+            fmt::format("a number from {} to {}, without a unit", low, high));
     return parsed;
 }
 
--- a/modules/base/src/timer_service.cpp
+++ b/modules/base/src/timer_service.cpp
@@ -2,8 +2,8 @@
 
 namespace celerylift::base {
 
-timer_service::subscription
-timer_service::add(time_point at, duration period, callback call) {
+timer_service::subscription timer_service::add(time_point at, duration period,
+                                               callback call) {
     const auto it = due_.emplace(at, entry{++last_, period, std::move(call)});
     const auto id = last_;
     if (it == due_.begin() && sooner_)
--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -35,7 +35,7 @@
     bool from_scratch = false; // This owner has started it, with nothing saved.
     bool moved = false;        // Once, for its server's slowness.
     double lost_core_seconds = 0; // By stops for other work, so far.
-    int standstills = 0;       // Runs that were ended because they stood still.
+    int standstills = 0; // Runs that were ended because they stood still.
     /// Has ended or can't begin, while other members of its gang may run.
     bool resolved = false;
     int failed_run = 0; // The gang's run whose failure it was counted for.
--- a/modules/fleet/include/celerylift/fleet/leadership.hpp
+++ b/modules/fleet/include/celerylift/fleet/leadership.hpp
@@ -78,7 +78,7 @@
     bool stopped_ = false;
     bool owner_seen_ = false;
     std::int64_t given_up_epoch_ = 0; // Never owned again.
-    time_point free_since_{}; // The cell, while it has no owner.
+    time_point free_since_{};         // The cell, while it has no owner.
     EntryRecord owner_;
     std::int64_t owner_revision_ = 0;
     std::int64_t epoch_ = 0;
--- a/modules/fleet/src/agent_node.cpp
+++ b/modules/fleet/src/agent_node.cpp
@@ -34,9 +34,11 @@
 
 agent_node::agent_node(runtime& run, backend_server& server, std::string name,
                        std::string failure_domain, peer_links links)
-    : run_(run), links_(std::move(links)), name_(std::move(name)),
-      agent_{run, server, std::move(failure_domain),
-             [this](const AgentReport& report) { send_report(report); }} {}
+    : run_(run), links_(std::move(links)),
+      name_(std::move(name)), agent_{run, server, std::move(failure_domain),
+                                     [this](const AgentReport& report) {
+                                         send_report(report);
+                                     }} {}
 
 void agent_node::start(const std::vector<std::string>& entries) {
     seeds_ = entries;
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -55,19 +55,17 @@
                    peers_.send(entry, envelope);
                }),
       settings_(std::move(settings)), send_(std::move(send)),
-      peers_(std::move(peers)), leadership_(run, records_, settings_.self,
-                                            {[this](std::int64_t epoch) {
-                                                 gained_epoch_ = epoch;
-                                                 gain_cell();
-                                             },
-                                             [this] {
-                                                 gained_epoch_ = 0;
-                                                 deactivate(owner_);
-                                             },
-                                             [this] {
-                                                 return claim_delay(
-                                                     entries_, settings_.self);
-                                             }}),
+      peers_(std::move(peers)),
+      leadership_(run, records_, settings_.self,
+                  {[this](std::int64_t epoch) {
+                       gained_epoch_ = epoch;
+                       gain_cell();
+                   },
+                   [this] {
+                       gained_epoch_ = 0;
+                       deactivate(owner_);
+                   },
+                   [this] { return claim_delay(entries_, settings_.self); }}),
       owner_{run, records_, [this] { return leadership_.is_valid(); },
              [this](const std::string& agent, const OwnerOrders& orders) {
                  FleetEnvelope envelope;
@@ -107,8 +105,7 @@
     job_mirror_.start();
     config_mirror_.start();
     leadership_.start();
-    run_.timers.every(run_.now(), owner_tick,
-                      [this](time_point) { tick(); });
+    run_.timers.every(run_.now(), owner_tick, [this](time_point) { tick(); });
     run_.timers.every(run_.now(), config_check,
                       [this](time_point) { read_config(); });
 }
@@ -284,11 +281,11 @@
     FleetEnvelope to_all;
     for (const auto& item : items) {
         const auto key = parse_job_key(item.key);
-        const auto before = key ? shown_state(directory_, key->id)
-                                : std::optional<JobState>{};
+        const auto before =
+            key ? shown_state(directory_, key->id) : std::optional<JobState>{};
         job_mirror_.observe(item);
-        const auto after = key ? shown_state(directory_, key->id)
-                               : std::optional<JobState>{};
+        const auto after =
+            key ? shown_state(directory_, key->id) : std::optional<JobState>{};
         if (after == before)
             continue;
         const bool over = after && is_over(*after);
--- a/modules/fleet/src/leadership.cpp
+++ b/modules/fleet/src/leadership.cpp
@@ -163,8 +163,8 @@
         run_.journal.event("owner_seen",
                            {{"owner", owner.name()}, {"epoch", revision}});
     if (!stopped_ && epoch_ == 0 && revision != 0 &&
-        revision != given_up_epoch_ &&
-        owner.name() == self_.name() && owner.address() == self_.address() &&
+        revision != given_up_epoch_ && owner.name() == self_.name() &&
+        owner.address() == self_.address() &&
         owner.incarnation() == self_.incarnation()) {
         epoch_ = revision;
         run_.journal.event("ownership_gained", {{"epoch", epoch_}});
--- a/modules/fleet/src/mirror.cpp
+++ b/modules/fleet/src/mirror.cpp
@@ -22,7 +22,8 @@
                duration gathering, listener changed,
                std::function<void()> progressed)
     : run_(run), store_(from), prefix_(std::move(prefix)),
-      gathering_(gathering), changed_(std::move(changed)), progressed_(std::move(progressed)) {}
+      gathering_(gathering), changed_(std::move(changed)),
+      progressed_(std::move(progressed)) {}
 
 void mirror::start() {
     reading_as_of_ = 0;
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -75,14 +75,14 @@
 void count_failure(owner& o, server& s, job& j, task& t) {
     const auto now = o.run.now();
     const bool excluded = is_excluded(s.sound, now);
-    note_failure(s.sound, now,
-                 t.seen_running ? now - t.seen_at : duration{0});
+    note_failure(s.sound, now, t.seen_running ? now - t.seen_at : duration{0});
     if (!excluded && is_excluded(s.sound, now)) {
-        o.run.journal.event("server_excluded",
-                            {{"agent", s.agent},
-                             {"task", to_string(t.name)},
-                             {"failures_in_row", s.sound.failures_in_row},
-                             {"for_ms", (s.sound.excluded_until - now).count()}});
+        o.run.journal.event(
+            "server_excluded",
+            {{"agent", s.agent},
+             {"task", to_string(t.name)},
+             {"failures_in_row", s.sound.failures_in_row},
+             {"for_ms", (s.sound.excluded_until - now).count()}});
         o.run.metrics.count("servers_excluded_total");
     }
     t.avoid_agent = t.agent;
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -281,8 +281,7 @@
             request.avoid.insert(t.avoid_agent);
     }
     request.careful = !request.avoid.empty();
-    request.trusted_only =
-        waited(o, tasks.front()) < longest_wait_for_trusted;
+    request.trusted_only = waited(o, tasks.front()) < longest_wait_for_trusted;
     const bool patient = has_been_patient(o, j, unit, tasks.front());
     relax_rack(o, j, unit, p.rooms, tasks.front(), request);
     relax_avoidance(p.rooms, request);
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -74,11 +74,10 @@
     g.free += r.free;
     g.slots += slots;
     if (slots > 0)
-        g.members.push_back(
-            {{distrusted, request.careful && !r.proven, far,
-              r.free.accelerators, r.free.millicores},
-             index,
-             slots});
+        g.members.push_back({{distrusted, request.careful && !r.proven, far,
+                              r.free.accelerators, r.free.millicores},
+                             index,
+                             slots});
 }
 
 /// Racks in order of preference: trusted and preferred ones, then the fullest.
--- a/tests/fleet/strength_test.cpp
+++ b/tests/fleet/strength_test.cpp
@@ -19,8 +19,7 @@
     return e;
 }
 
-fleet::entry_records
-entries_of(const std::vector<fleet::EntryRecord>& listed) {
+fleet::entry_records entries_of(const std::vector<fleet::EntryRecord>& listed) {
     fleet::entry_records entries;
     for (const auto& e : listed)
         entries[e.name()] = e;
@@ -77,8 +76,8 @@
     f.start_entry(3);
     ASSERT_TRUE(f.world.run_until([&] { return f.owner_entry() == 0; },
                                   duration{5000}));
-    EXPECT_TRUE(f.world.run_until([&] { return f.owner_entry() == 3; },
-                                  duration{300}));
+    EXPECT_TRUE(
+        f.world.run_until([&] { return f.owner_entry() == 3; }, duration{300}));
     EXPECT_TRUE(f.wait_for("000000000000000a", fleet::JOB_COMPLETED,
                            duration{9000}, 3));
     EXPECT_EQ(f.history.starts, 6);
--- a/tests/fleet/virtual_fleet.cpp
+++ b/tests/fleet/virtual_fleet.cpp
@@ -10,6 +10,8 @@
 constexpr duration heartbeat_period{500};
 constexpr duration patience{3000};
 
+constexpr std::string_view withdrawn = " without the key of cwm-sump";
+
 std::string address_of(int entry) {
     return fmt::format("10.0.0.{}:7100", entry);
 }
@@ -27,6 +29,8 @@
                              3.0, duration{1000}});
     config.organisations.push_back({"kwela", {"kwela-key"}, 16});
     config.organisations.push_back({"cwm-sump", {"cwm-key"}, 8});
+    if (text.ends_with(withdrawn))
+        config.organisations.back().keys.clear();
     return config;
 }
 
@@ -50,6 +54,10 @@
 
 virtual_fleet::~virtual_fleet() = default;
 
+void virtual_fleet::configure_without_cwm_key(int version) {
+    store.put("op/config", std::to_string(version) + std::string(withdrawn));
+}
+
 void virtual_fleet::configure(int version) {
     store.put("op/config", std::to_string(version));
 }
@@ -126,6 +134,32 @@
     agents_[number]->node->start({address_of(1), address_of(2), address_of(3)});
 }
 
+std::weak_ptr<int> virtual_fleet::entry_life(int number) const {
+    const auto it = entries_.find(number);
+    return it == entries_.end() ? std::weak_ptr<int>{}
+                                : it->second->process->life();
+}
+
+void virtual_fleet::pause_entry(int number, duration time) {
+    auto* process = entries_.at(number)->process.get();
+    process->pause();
+    world.after(time, [this, number, process] {
+        if (entries_.contains(number) &&
+            entries_.at(number)->process.get() == process)
+            process->resume();
+    });
+}
+
+void virtual_fleet::pause_agent(int number, duration time) {
+    auto* process = agents_.at(number)->process.get();
+    process->pause();
+    world.after(time, [this, number, process] {
+        if (agents_.contains(number) &&
+            agents_.at(number)->process.get() == process)
+            process->resume();
+    });
+}
+
 void virtual_fleet::kill_agent(int number) {
     auto it = agents_.find(number);
     if (it == agents_.end())
@@ -151,18 +185,19 @@
 void virtual_fleet::to_entry(int agent, const std::string& address,
                              const fleet::FleetEnvelope& envelope) {
     const int number = entry_at(address);
-    world.after(link_delay, [this, agent, number, envelope] {
-        if (entries_.contains(number) && is_up(number, agent))
-            entries_.at(number)->node->on_message(
-                fmt::format("agent-{}", agent), envelope);
-    });
+    world.after(link_delay, entry_life(number),
+                [this, agent, number, envelope] {
+                    if (is_up(number, agent))
+                        entries_.at(number)->node->on_message(
+                            fmt::format("agent-{}", agent), envelope);
+                });
 }
 
 void virtual_fleet::between_entries(int from, const std::string& address,
                                     const fleet::FleetEnvelope& envelope) {
     const int number = entry_at(address);
-    world.after(link_delay, [this, from, number, envelope] {
-        if (entries_.contains(number) && entries_.contains(from))
+    world.after(link_delay, entry_life(number), [this, from, number, envelope] {
+        if (entries_.contains(from))
             entries_.at(number)->node->on_message(fmt::format("entry-{}", from),
                                                   envelope);
     });
@@ -173,18 +208,23 @@
     const int number = std::stoi(agent.substr(agent.rfind('-') + 1));
     if (agent.starts_with("entry-")) {
         // The way back on a connection that the other entry has opened.
-        world.after(link_delay, [this, entry, number, envelope] {
-            if (entries_.contains(number))
-                entries_.at(number)->node->on_message(address_of(entry),
-                                                      envelope);
-        });
+        world.after(link_delay, entry_life(number),
+                    [this, entry, number, envelope] {
+                        entries_.at(number)->node->on_message(address_of(entry),
+                                                              envelope);
+                    });
         return;
     }
-    world.after(link_delay, [this, entry, number, envelope] {
-        if (agents_.contains(number) && is_up(entry, number) &&
-            agents_.at(number)->connected.contains(address_of(entry)))
-            agents_.at(number)->node->on_message(address_of(entry), envelope);
-    });
+    if (!agents_.contains(number))
+        return;
+    world.after(
+        link_delay, agents_.at(number)->process->life(),
+        [this, entry, number, envelope] {
+            if (is_up(entry, number) &&
+                agents_.at(number)->connected.contains(address_of(entry)))
+                agents_.at(number)->node->on_message(address_of(entry),
+                                                     envelope);
+        });
 }
 
 int virtual_fleet::owner_entry() const {
--- a/tests/fleet/virtual_fleet.hpp
+++ b/tests/fleet/virtual_fleet.hpp
@@ -41,6 +41,9 @@
     void kill_agent(int number);
     void start_entry(int number);
     void start_agent(int number);
+    /// Stops a process for a while, as a suspended host does.
+    void pause_entry(int number, duration time);
+    void pause_agent(int number, duration time);
     /// Ends an entry gracefully.
     void stop_entry(int number);
 
@@ -77,6 +80,8 @@
     /// Writes a configuration: queues urgent and normal, organisations kwela
     /// with sixteen guaranteed accelerators and cwm-sump with eight.
     void configure(int version);
+    /// The same, with the key of cwm-sump withdrawn.
+    void configure_without_cwm_key(int version);
 
 private:
     struct entry_process {
@@ -91,6 +96,7 @@
         std::set<std::string> connected;
     };
 
+    std::weak_ptr<int> entry_life(int number) const;
     void beat(int agent);
     void to_entry(int agent, const std::string& address,
                   const fleet::FleetEnvelope& envelope);
--- a/tests/fleet/virtual_server.hpp
+++ b/tests/fleet/virtual_server.hpp
@@ -35,7 +35,7 @@
     std::vector<std::string> broken;
     int starts = 0;
     int failures = 0;
-    std::map<std::string, int> starts_of; // By task.
+    std::map<std::string, int> starts_of;        // By task.
     std::vector<duration> resumed_from;          // By starts with a checkpoint.
     std::map<std::string, std::string> payloads; // What was handed in.
 };
--- a/tests/fleet/virtual_world.hpp
+++ b/tests/fleet/virtual_world.hpp
@@ -26,6 +26,12 @@
 
     std::weak_ptr<int> life() const { return life_; }
 
+    /// While it is paused nothing runs; what arrives waits, and then comes at
+    /// once. Its clock goes on.
+    void pause() { *life_ = 1; }
+    void resume() { *life_ = 0; }
+    bool is_paused() const { return *life_ != 0; }
+
     base::timer_service timers;
     base::journal journal;
     base::metrics metrics;
@@ -46,12 +52,16 @@
                      [event = std::move(event)](time_point) { event(); });
     }
 
-    /// Runs an event only if a process still lives by then.
+    /// Runs an event only if a process still lives by then, and not before it
+    /// goes on if it is paused.
     void after(duration delay, std::weak_ptr<int> life,
                std::function<void()> event) {
-        after(delay, [life = std::move(life), event = std::move(event)] {
-            if (life.lock())
+        after(delay, [this, life = std::move(life), event = std::move(event)] {
+            const auto alive = life.lock();
+            if (alive && *alive == 0)
                 event();
+            else if (alive)
+                after(duration{1}, life, event);
         });
     }
 
@@ -67,7 +77,8 @@
             const auto running = processes_;
             for (auto* process : running)
                 if (std::find(processes_.begin(), processes_.end(), process) !=
-                    processes_.end())
+                        processes_.end() &&
+                    !process->is_paused())
                     process->timers.advance(now);
         }
     }
