Refuse jobs whose record would not fit a value of the store

Cause: a step could have 10,000 tasks and a job 64 such steps, and a job could run a billion times; its record is one value of at most a megabyte, so such a job was accepted and could never be written. 8,000 tasks in all are allowed now; more are refused with what is allowed. The test failed before.

--- a/modules/fleet/src/front.cpp
+++ b/modules/fleet/src/front.cpp
@@ -3,6 +3,7 @@
 #include <celerylift/fleet/jobs.hpp>
 #include <celerylift/fleet/names.hpp>
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <optional>
 #include <variant>
@@ -23,7 +24,10 @@
 
 constexpr std::size_t longest_payload = 4000;
 constexpr int most_steps = 64;
-constexpr int most_tasks_in_step = 10'000;
+constexpr int most_tasks_in_step = 8'000;
+/// Of all its steps and times: its record is one value of the store, which
+/// takes a megabyte, and a task needs about a hundred bytes of it.
+constexpr std::int64_t most_tasks_in_job = 8'000;
 
 struct admitted {
     queue_config queue;
@@ -238,6 +242,15 @@
     for (int i = 0; i < job.steps_size(); ++i)
         if (auto fault = find_fault(job.steps(i), i); !fault.empty())
             return fault;
+    std::int64_t tasks = 0;
+    for (const auto& step : job.steps())
+        tasks += step.count();
+    const std::int64_t times = std::max(1, job.occurrences());
+    if (tasks * times > most_tasks_in_job)
+        return fmt::format(
+            "the job has {} tasks in {} occurrences; allowed are {} in all: "
+            "split it",
+            tasks, times, most_tasks_in_job);
     return "";
 }
 
--- a/tests/fleet/findings_test.cpp
+++ b/tests/fleet/findings_test.cpp
@@ -77,8 +77,9 @@
     f.world.run_for(duration{GetParam() + 20});
     const bool passed_on = GetParam() > 2000;
     f.world.run_for(duration{400});
-    if (passed_on)
+    if (passed_on) {
         EXPECT_NE(f.owner_entry(), old);
+    }
     EXPECT_TRUE(f.wait_for(id_of(2), fleet::JOB_COMPLETED, duration{6000},
                            old % 3 + 1));
     EXPECT_TRUE(f.wait_for(id_of(1), fleet::JOB_COMPLETED, duration{12'000},
--- a/tests/fleet/owner_size_test.cpp
+++ b/tests/fleet/owner_size_test.cpp
@@ -1,6 +1,7 @@
 // The owner of hundreds and of thousands of servers: what it does follows what
 // changes, not the size of the fleet times what waits.
 #include "lone_owner.hpp"
+#include "virtual_fleet.hpp"
 
 #include <gtest/gtest.h>
 
@@ -73,6 +74,27 @@
     EXPECT_EQ(f.orders.size(), 2U);
 }
 
+// ---- Jobs that are too large for their record ----
+
+TEST(a_job, of_a_thousand_steps_or_too_many_tasks_is_refused_with_the_reason) {
+    virtual_fleet f;
+    auto wide = job_of(id_of(1), "ms=10", 100'000, one_accelerator);
+    auto long_chain = job_of(id_of(2), "ms=10", 1, one_accelerator);
+    for (int n = 1; n < 1000; ++n)
+        *long_chain.add_steps() = long_chain.steps(0);
+    auto many = job_of(id_of(3), "ms=10", 5000, one_accelerator);
+    *many.add_steps() = many.steps(0);
+    auto often = job_of(id_of(4), "ms=10", 100, one_accelerator);
+    often.set_occurrences(1'000'000'000);
+    for (const auto& job : {wide, long_chain, many, often}) {
+        const auto answer = f.hand_in(job);
+        EXPECT_EQ(answer.kind, fleet::answer_kind::invalid) << job.id();
+        EXPECT_NE(answer.message.find("allowed"), std::string::npos);
+    }
+    f.world.run_for(duration{300});
+    EXPECT_EQ(f.history.starts, 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(sizes, a_large_fleet, ::testing::Values(160, 1600));
 
 } // namespace celerylift::test
