--- a/modules/fleet/include/celerylift/fleet/suspicion.hpp
+++ b/modules/fleet/include/celerylift/fleet/suspicion.hpp
@@ -10,7 +10,8 @@
 /// show itself with one task.
 struct soundness {
     int failures_in_row = 0;
-    int exclusions = 0; // In a row.
+    int exclusions = 0;  // In a row.
+    int slow_in_row = 0; // Times that it was found slow again.
     time_point excluded_until{};
     bool on_probation = false;
     time_point proven_at{};
--- a/modules/fleet/src/suspicion.cpp
+++ b/modules/fleet/src/suspicion.cpp
@@ -53,21 +53,32 @@
 }
 
 void note_done(soundness& s, time_point now) {
+    // What is slow gets done as well, only late.
+    const bool slow = s.slow_in_row > 0 && is_distrusted(s, now);
+    const auto before = s;
     s = {};
     s.proven_at = now;
+    if (!slow)
+        return;
+    s.distrusted_until = before.distrusted_until;
+    s.slow_in_row = before.slow_in_row;
 }
 
 void note_long_run(soundness& s, time_point now) {
     if (is_excluded(s, now))
         return; // It began before the failures.
-    const auto slow_until = s.distrusted_until;
+    const auto before = s;
     note_done(s, now);
-    s.distrusted_until = slow_until;
+    s.distrusted_until = before.distrusted_until;
+    s.slow_in_row = before.slow_in_row;
 }
 
 void note_slowness(soundness& s, time_point now) {
-    s.distrusted_until =
-        std::max(s.distrusted_until, now + distrust_while_slow);
+    if (!is_distrusted(s, now))
+        ++s.slow_in_row;
+    const int doublings = std::clamp(s.slow_in_row - 1, 0, most_doublings);
+    s.distrusted_until = std::max(
+        s.distrusted_until, now + distrust_while_slow * (1 << doublings));
 }
 
 bool shows_soundness(duration ran) {
--- a/tests/fleet/suspicion_test.cpp
+++ b/tests/fleet/suspicion_test.cpp
@@ -78,6 +78,23 @@
     EXPECT_TRUE(is_distrusted(s, start + duration{200}));
 }
 
+// A slow server was trusted again as soon as one of its slow runs was done, and
+// got the next gang, which went at its pace.
+TEST(a_server, that_is_slow_stays_distrusted_when_a_run_is_done) {
+    soundness s;
+    note_slowness(s, start);
+    note_done(s, start + duration{100});
+    EXPECT_TRUE(is_distrusted(s, start + duration{200}));
+    EXPECT_FALSE(is_distrusted(s, start + duration{3200}));
+}
+
+TEST(a_server, that_is_slow_again_is_distrusted_for_longer) {
+    soundness s;
+    note_slowness(s, start);
+    note_slowness(s, start + duration{3500});
+    EXPECT_TRUE(is_distrusted(s, start + duration{9000}));
+}
+
 // ---- In a fleet ----
 
 // A full fleet in which one server fails all that it starts: it was always
