Wish for a rack and for trusted servers only as long as that costs little

Cause: the check whether a rack could hold a gang left out servers that are not trusted just now, so a gang was spread, and took three times as long, for one of them. Urgent gangs waited up to 3 s for trusted servers, as long as a guarantee may take. Change: the check counts all servers; urgent gangs wait 0.8 s; room is reclaimed on any server where no plan with trusted ones is found.

--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -235,14 +235,21 @@
     });
 }
 
+/// The cheapest plan, without the wish for one rack where that has none, and
+/// then without the wish for trusted servers.
 std::optional<plan> find_plan(const owner& o, schedule_pass& p,
                               const placement_request& request, int priority) {
-    auto found = cheapest_plan(o, p, request, priority);
-    if (found || !request.same_rack)
-        return found;
-    auto spread = request;
-    spread.same_rack = false;
-    return cheapest_plan(o, p, spread, priority);
+    auto wished = request;
+    auto found = cheapest_plan(o, p, wished, priority);
+    if (!found && wished.same_rack) {
+        wished.same_rack = false;
+        found = cheapest_plan(o, p, wished, priority);
+    }
+    if (!found && wished.trusted_only) {
+        wished.trusted_only = false;
+        found = cheapest_plan(o, p, wished, priority);
+    }
+    return found;
 }
 
 } // namespace
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -20,8 +20,9 @@
 constexpr duration longest_rack_wait{12'000};
 
 /// A gang goes at the pace of its slowest member and fails with any: it waits
-/// for servers that are trusted, up to this time.
+/// for servers that are trusted, up to this time; urgent ones have little.
 constexpr duration longest_wait_for_trusted{3000};
+constexpr duration longest_urgent_wait_for_trusted{800};
 
 /// Patient work leaves the emptiest rack free for this share of the time that
 /// its tasks usually run. Its objective is several times that, and urgent work
@@ -281,10 +282,14 @@
             request.avoid.insert(t.avoid_agent);
     }
     request.careful = !request.avoid.empty();
-    request.trusted_only = waited(o, tasks.front()) < longest_wait_for_trusted;
     const bool patient = has_been_patient(o, j, unit, tasks.front());
+    // A rack is wished for as long as it could hold the gang at all, also with
+    // servers that are not trusted just now.
     relax_rack(o, j, unit, p.rooms, tasks.front(), request);
     relax_avoidance(p.rooms, request);
+    request.trusted_only = waited(o, tasks.front()) <
+                           (unit.priority == 0 ? longest_urgent_wait_for_trusted
+                                               : longest_wait_for_trusted);
     const auto attempt = attempt_of(j, patient, request);
     const bool hopeless = is_hopeless(o, p, unit, attempt);
     if (hopeless && !may_reserve(p, j, unit, patient))
--- a/modules/fleet/src/suspicion.cpp
+++ b/modules/fleet/src/suspicion.cpp
@@ -77,8 +77,8 @@
     if (!is_distrusted(s, now))
         ++s.slow_in_row;
     const int doublings = std::clamp(s.slow_in_row - 1, 0, most_doublings);
-    s.distrusted_until = std::max(
-        s.distrusted_until, now + distrust_while_slow * (1 << doublings));
+    s.distrusted_until = std::max(s.distrusted_until,
+                                  now + distrust_while_slow * (1 << doublings));
 }
 
 bool shows_soundness(duration ran) {
