--- a/tests/fleet/lone_owner.cpp
+++ b/tests/fleet/lone_owner.cpp
@@ -46,7 +46,8 @@
 }
 
 void lone_owner::add_job(const std::string& id, const std::string& queue,
-                         int tasks, fleet::resources each, bool gang) {
+                         int tasks, fleet::resources each, bool gang,
+                         bool same_rack) {
     fleet::stored_job stored;
     auto& job = stored.submission.emplace();
     job.set_id(id);
@@ -58,10 +59,16 @@
     to_record(each, step->mutable_each());
     step->set_estimate_ms(60'000);
     step->set_gang(gang);
+    step->set_same_rack(same_rack);
     on_job_changed(decisions, stored);
     finish_step(decisions);
 }
 
+void lone_owner::distrust(int server, duration time) {
+    decisions.servers.at(agent_of(server)).sound.distrusted_until =
+        world.now + time;
+}
+
 void lone_owner::report(int server) {
     fleet::AgentReport report;
     const auto agent = agent_of(server);
--- a/tests/fleet/lone_owner.hpp
+++ b/tests/fleet/lone_owner.hpp
@@ -20,7 +20,10 @@
 
     /// Hands in a job of one step.
     void add_job(const std::string& id, const std::string& queue, int tasks,
-                 fleet::resources each, bool gang);
+                 fleet::resources each, bool gang, bool same_rack = false);
+
+    /// Makes a server look slow for a while.
+    void distrust(int server, duration time);
 
     /// The report of a server that runs all it was told to start.
     void report(int server);
--- a/tests/fleet/owner_size_test.cpp
+++ b/tests/fleet/owner_size_test.cpp
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 
 #include <fmt/format.h>
+#include <set>
+#include <string>
 
 namespace celerylift::test {
 
@@ -74,6 +76,27 @@
     EXPECT_EQ(f.orders.size(), 2U);
 }
 
+// A gang of a whole rack was spread over two, and took three times as long,
+// because one server of each rack was distrusted for a second.
+TEST_P(a_large_fleet, waits_for_a_rack_of_which_one_server_is_distrusted) {
+    lone_owner f(GetParam());
+    for (int server = 3; server < GetParam(); server += 16)
+        f.distrust(server, duration{1000});
+    f.add_job(id_of(1), "normal", 16, whole_server, true, true);
+    f.run_for(duration{300});
+    EXPECT_EQ(f.assigned_tasks(), 0);
+    f.report_all();
+    f.run_for(duration{900});
+    f.report_all();
+    f.run_for(duration{50});
+    EXPECT_EQ(f.assigned_tasks(), 16);
+    std::set<std::string> racks;
+    for (const auto& [agent, s] : f.decisions.servers)
+        if (!s.assigned.empty())
+            racks.insert(s.state.rack());
+    EXPECT_EQ(racks.size(), 1U);
+}
+
 // ---- Jobs that are too large for their record ----
 
 TEST(a_job, of_a_thousand_steps_or_too_many_tasks_is_refused_with_the_reason) {
