--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -2,6 +2,7 @@
 
 #include <celerylift/fleet/owner.hpp>
 
+#include <compare>
 #include <map>
 #include <optional>
 #include <string>
@@ -78,6 +79,19 @@
 enum class payoff { in_full, in_part, none };
 payoff payoff_of(const owner& o, const job& j, const occurrence& at);
 
+/// Tasks of one step that wait to be placed.
+struct waiting_unit {
+    bool worthless = false;
+    int priority = 0;
+    bool late = false;
+    std::int64_t submitted = 0;
+    std::string job;
+    std::size_t occurrence = 0;
+    int step = 0;
+
+    auto operator<=>(const waiting_unit&) const = default;
+};
+
 /// A request that found no room. No larger one of its kind finds any in the
 /// same pass: room only shrinks while work is placed.
 struct failed_request {
@@ -115,6 +129,9 @@
 /// Servers that can be given work, with what is free on them.
 schedule_pass begin_pass(owner& o);
 
+/// Gives the tasks of a unit servers, or makes or keeps room for them.
+void place_unit(owner& o, schedule_pass& p, const waiting_unit& unit);
+
 /// Takes room from tasks of lower priority for a job inside its
 /// organisation's guarantee. Returns whether room has been reserved.
 /// Outside a guarantee, only work that can still be in time takes any.
--- /dev/null
+++ b/modules/fleet/src/owner_place.cpp
@@ -0,0 +1,333 @@
+#include "owner_internal.hpp"
+
+#include <algorithm>
+
+namespace celerylift::fleet {
+
+namespace {
+
+/// A gang that is spread over racks runs about three times as long. It waits
+/// for one rack as long as it would lose by that, and no longer than this.
+constexpr int spread_factor = 3;
+constexpr duration longest_rack_wait{12'000};
+
+/// A gang goes at the pace of its slowest member and fails with any: it waits
+/// for servers that are trusted, up to this time; urgent ones have little.
+constexpr duration longest_wait_for_trusted{3000};
+constexpr duration longest_urgent_wait_for_trusted{800};
+
+/// Patient work leaves the emptiest rack free for this share of the time that
+/// its tasks usually run. Its objective is several times that, and urgent work
+/// that finds room needs no stop, which alone may cost it its objective.
+constexpr int patience_percent = 60;
+
+void assign(owner& o, job& j, task& t, server& s, int run) {
+    t.phase = task_phase::assigned;
+    t.run = run;
+    t.agent = s.agent;
+    t.incarnation = s.state.incarnation();
+    t.assigned_at = o.run.now();
+    t.from_scratch = t.checkpoint.empty();
+    t.resolved = false;
+    t.stopping = false;
+    t.seen_running = false;
+    t.percent = 0;
+    s.assigned[t.name] = {&j, &t};
+    s.used.stale = true;
+    o.changed_agents.insert(s.agent);
+    touch(o, j);
+    t.assigned_in = j.version;
+    j.begun = true;
+    if (j.state == JOB_PENDING)
+        j.state = JOB_RUNNING;
+    o.run.journal.event(
+        "task_assigned",
+        {{"task", to_string(t.name)},
+         {"run", run},
+         {"agent", s.agent},
+         {"waited_ms", (t.assigned_at - t.waiting_since).count()}});
+    o.run.metrics.count("tasks_assigned_total");
+}
+
+placement_request request_for(const owner& o, const job& j,
+                              const occurrence& at, int step) {
+    const auto& spec = j.submission.steps(step);
+    placement_request request;
+    request.service = queue_of(o, j)->service;
+    request.each = need_of(spec);
+    request.required_label = spec.required_label();
+    request.preferred_rack = spec.affinity_rack();
+    request.most_per_server = spec.anti_affinity();
+    request.same_rack = spec.gang() && spec.same_rack();
+    if (request.most_per_server == 0)
+        return request;
+    std::map<std::string, int> running;
+    for (const auto& t : at.steps[static_cast<std::size_t>(step)].tasks)
+        if (t.phase == task_phase::assigned)
+            ++running[t.agent];
+    request.running.assign(running.begin(), running.end());
+    return request;
+}
+
+bool is_for(const reservation& r, const waiting_unit& unit) {
+    return r.job == unit.job && r.step == unit.step &&
+           r.occurrence == static_cast<int>(unit.occurrence);
+}
+
+/// Keeps reserved room from all but the unit that it is kept for, those that
+/// go first, and those that will have ended before it is used.
+void withhold_reserved(const owner& o, const schedule_pass& p,
+                       const waiting_unit& unit, std::vector<room>& rooms) {
+    const auto end = o.run.now() + usual_run(o, o.jobs.at(unit.job), unit.step);
+    for (const auto& r : o.reservations)
+        if (!is_for(r, unit) && unit.priority >= r.priority &&
+            end >= r.ready_at)
+            withhold(p, r, rooms);
+}
+
+void end_reservation(owner& o, const waiting_unit& unit) {
+    std::erase_if(o.reservations,
+                  [&](const reservation& r) { return is_for(r, unit); });
+}
+
+bool has_reservation(const owner& o, const waiting_unit& unit) {
+    return std::ranges::any_of(
+        o.reservations, [&](const reservation& r) { return is_for(r, unit); });
+}
+
+duration waited(const owner& o, const task& t) {
+    return o.run.now() - t.waiting_since;
+}
+
+/// Relaxes a wish for one rack where it can't be met or has waited enough.
+void relax_rack(const owner& o, const job& j, const waiting_unit& unit,
+                const std::vector<room>& rooms, const task& first,
+                placement_request& request) {
+    const auto lost = usual_run(o, j, unit.step) * (spread_factor - 1);
+    if (request.same_rack &&
+        (waited(o, first) > std::min<duration>(lost, longest_rack_wait) ||
+         !could_fit(rooms, request)))
+        request.same_rack = false;
+}
+
+/// A job doesn't spend its last attempt where it failed before, but waits for
+/// another server; unless even an idle fleet has no other.
+void relax_avoidance(const std::vector<room>& rooms,
+                     placement_request& request) {
+    if (request.avoid.empty())
+        return;
+    auto one = request;
+    one.count = 1;
+    if (!could_fit(rooms, request.same_rack ? request : one))
+        request.avoid.clear();
+}
+
+/// The rack with the most free accelerators.
+std::size_t emptiest_rack(const std::vector<room>& rooms) {
+    std::vector<std::int64_t> free;
+    for (const auto& r : rooms) {
+        free.resize(std::max(free.size(), r.rack_number + 1));
+        free[r.rack_number] += r.free.accelerators;
+    }
+    return static_cast<std::size_t>(std::ranges::max_element(free) -
+                                    free.begin());
+}
+
+bool has_been_patient(const owner& o, const job& j, const waiting_unit& unit,
+                      const task& first) {
+    return waited(o, first) >
+           usual_run(o, j, unit.step) * patience_percent / 100;
+}
+
+/// Keeps the emptiest rack for urgent work while patient work can wait.
+void withhold_for_urgent(const owner& o, const job& j, const waiting_unit& unit,
+                         const task& first, std::vector<room>& rooms) {
+    if (unit.priority == 0 || has_been_patient(o, j, unit, first))
+        return;
+    const auto kept = emptiest_rack(rooms);
+    for (auto& r : rooms)
+        r.withheld = r.rack_number == kept;
+}
+
+failed_request attempt_of(const job& j, bool patient,
+                          const placement_request& request) {
+    return {j.submission.queue(), patient, request};
+}
+
+/// Whether this pass has shown already that a request finds no room. Units
+/// with a reservation have room that others haven't, and urgent ones may take
+/// room that is in use.
+bool is_hopeless(const owner& o, const schedule_pass& p,
+                 const waiting_unit& unit, const failed_request& now) {
+    return unit.priority != 0 && !has_reservation(o, unit) &&
+           std::ranges::any_of(p.failed, [&](const failed_request& earlier) {
+               return earlier.queue == now.queue &&
+                      earlier.patient == now.patient &&
+                      asks_for_more(now.request, earlier.request);
+           });
+}
+
+void note_failure(const owner& o, schedule_pass& p, const waiting_unit& unit,
+                  failed_request attempt) {
+    if (attempt.request.avoid.empty() && !has_reservation(o, unit))
+        p.failed.push_back(std::move(attempt));
+}
+
+/// Gives tasks their servers, and takes the room from the rest of the pass.
+void assign_to(owner& o, schedule_pass& p, job& j, task& t, std::size_t at,
+               int run) {
+    auto& s = *p.servers[at];
+    p.rooms[at].free -= need_of(step_of(j, t.name));
+    if (p.rooms[at].on_probation)
+        p.rooms[at].free = {};
+    if (p.urgent_use && priority_of(o, j) == 0)
+        (*p.urgent_use)[j.submission.organisation()] +=
+            need_of(step_of(j, t.name)).accelerators;
+    assign(o, j, t, s, run);
+}
+
+/// Whether room may be kept for work that has waited for long.
+bool may_reserve(const schedule_pass& p, const job& j, const waiting_unit& unit,
+                 bool patient) {
+    return j.submission.steps(unit.step).gang() && patient && !unit.worthless &&
+           p.plans_left > 0;
+}
+
+/// For work that doesn't fit now.
+void make_room(owner& o, schedule_pass& p, const waiting_unit& unit, job& j,
+               const placement_request& request, const std::vector<room>& rooms,
+               bool patient) {
+    const auto& at = j.occurrences[unit.occurrence];
+    if (has_reservation(o, unit) || reclaim(o, p, j, at, unit.step, request))
+        return;
+    if (may_reserve(p, j, unit, patient))
+        reserve_ahead(o, p, j, at, unit.step, rooms, request);
+}
+
+/// What a gang as a whole asks for.
+placement_request request_for_gang(const owner& o, const schedule_pass& p,
+                                   const job& j, const waiting_unit& unit) {
+    const auto& at = j.occurrences[unit.occurrence];
+    const auto& tasks = at.steps[static_cast<std::size_t>(unit.step)].tasks;
+    auto request = request_for(o, j, at, unit.step);
+    request.count = static_cast<int>(tasks.size());
+    for (const auto& t : tasks)
+        if (!t.avoid_agent.empty())
+            request.avoid.insert(t.avoid_agent);
+    request.careful = !request.avoid.empty();
+    // A rack is wished for as long as it could hold the gang at all, also with
+    // servers that are not trusted just now.
+    relax_rack(o, j, unit, p.rooms, tasks.front(), request);
+    relax_avoidance(p.rooms, request);
+    request.trusted_only = waited(o, tasks.front()) <
+                           (unit.priority == 0 ? longest_urgent_wait_for_trusted
+                                               : longest_wait_for_trusted);
+    return request;
+}
+
+void place_gang(owner& o, schedule_pass& p, job& j, const waiting_unit& unit) {
+    auto& at = j.occurrences[unit.occurrence];
+    auto& tasks = at.steps[static_cast<std::size_t>(unit.step)].tasks;
+    const auto request = request_for_gang(o, p, j, unit);
+    const bool patient = has_been_patient(o, j, unit, tasks.front());
+    const auto attempt = attempt_of(j, patient, request);
+    const bool hopeless = is_hopeless(o, p, unit, attempt);
+    if (hopeless && !may_reserve(p, j, unit, patient))
+        return;
+    auto rooms = p.rooms;
+    withhold_reserved(o, p, unit, rooms);
+    withhold_for_urgent(o, j, unit, tasks.front(), rooms);
+    if (!hopeless)
+        o.run.metrics.count("placements_tried_total");
+    const auto chosen = hopeless ? placement{} : place(rooms, request);
+    if (chosen.empty()) {
+        make_room(o, p, unit, j, request, rooms, patient);
+        return note_failure(o, p, unit, attempt);
+    }
+    end_reservation(o, unit);
+    const int run = std::ranges::max_element(tasks, {}, &task::run)->run;
+    for (std::size_t i = 0; i < tasks.size(); ++i)
+        assign_to(o, p, j, tasks[i], chosen[i], run + 1);
+}
+
+/// Tasks of a step that wait, those first that may run anywhere.
+std::vector<task*> waiting_tasks(step_run& s) {
+    std::vector<task*> waiting;
+    for (auto& t : s.tasks)
+        if (t.phase == task_phase::waiting)
+            waiting.push_back(&t);
+    std::ranges::stable_partition(
+        waiting, [](const task* t) { return t->avoid_agent.empty(); });
+    return waiting;
+}
+
+/// A probe may cost the task an attempt, so it must not be its last one.
+bool may_probe(const owner& o, const job& j, const std::string& avoid) {
+    return avoid.empty() && queue_of(o, j)->most_attempts > 1;
+}
+
+/// Places tasks from `next` on that avoid the same server. Returns how many.
+std::size_t place_alike(owner& o, schedule_pass& p, job& j,
+                        const waiting_unit& unit,
+                        const std::vector<task*>& tasks, std::size_t next,
+                        std::vector<room>& rooms) {
+    const auto& avoid = tasks[next]->avoid_agent;
+    auto request = request_for(o, j, j.occurrences[unit.occurrence], unit.step);
+    if (!avoid.empty())
+        request.avoid.insert(avoid);
+    request.careful = !avoid.empty();
+    request.may_probe = may_probe(o, j, avoid);
+    relax_avoidance(p.rooms, request);
+    const auto alike = std::find_if(
+        tasks.begin() + static_cast<std::ptrdiff_t>(next), tasks.end(),
+        [&](const task* t) { return t->avoid_agent != avoid; });
+    request.count =
+        static_cast<int>(alike - tasks.begin()) - static_cast<int>(next);
+    o.run.metrics.count("placements_tried_total");
+    const auto chosen = place_up_to(rooms, request);
+    for (std::size_t i = 0; i < chosen.size(); ++i)
+        assign_to(o, p, j, *tasks[next + i], chosen[i],
+                  tasks[next + i]->run + 1);
+    return chosen.size();
+}
+
+void place_singles(owner& o, schedule_pass& p, job& j,
+                   const waiting_unit& unit) {
+    auto& at = j.occurrences[unit.occurrence];
+    const auto tasks =
+        waiting_tasks(at.steps[static_cast<std::size_t>(unit.step)]);
+    const auto& first = *tasks.front();
+    const bool patient = has_been_patient(o, j, unit, first);
+    auto request = request_for(o, j, at, unit.step);
+    if (is_hopeless(o, p, unit, attempt_of(j, patient, request)))
+        return;
+    auto rooms = p.rooms;
+    withhold_reserved(o, p, unit, rooms);
+    withhold_for_urgent(o, j, unit, first, rooms);
+    std::size_t placed = 0;
+    while (placed < tasks.size()) {
+        const auto n = place_alike(o, p, j, unit, tasks, placed, rooms);
+        if (n == 0)
+            break;
+        placed += n;
+    }
+    if (placed == tasks.size())
+        return end_reservation(o, unit);
+    request = request_for(o, j, at, unit.step);
+    if (tasks[placed]->avoid_agent.empty())
+        note_failure(o, p, unit, attempt_of(j, patient, request));
+    request.count = static_cast<int>(tasks.size() - placed);
+    make_room(o, p, unit, j, request, rooms, patient);
+}
+
+} // namespace
+
+void place_unit(owner& o, schedule_pass& p, const waiting_unit& unit) {
+    auto& j = o.jobs.at(unit.job);
+    if (j.submission.steps(unit.step).gang())
+        place_gang(o, p, j, unit);
+    else
+        place_singles(o, p, j, unit);
+}
+
+} // namespace celerylift::fleet
