--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -256,8 +256,8 @@
     for (auto& t : s.tasks)
         if (t.phase == task_phase::waiting)
             waiting.push_back(&t);
-    std::ranges::stable_partition(
-        waiting, [](const task* t) { return t->avoid_agent.empty(); });
+    std::stable_partition(waiting.begin(), waiting.end(),
+                          [](const task* t) { return t->avoid_agent.empty(); });
     return waiting;
 }
 
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -89,6 +89,7 @@
             add_member(racks[request.same_rack ? rooms[i].rack_number : 0],
                        rooms[i], i, request);
     std::vector<group> groups;
+    groups.reserve(racks.size());
     for (auto& [rack, members] : racks)
         groups.push_back(std::move(members));
     std::ranges::stable_sort(groups, {},
