--- a/modules/fleet/src/agent_node.cpp
+++ b/modules/fleet/src/agent_node.cpp
@@ -30,8 +30,8 @@
 constexpr duration widening_period{800};
 constexpr std::size_t links_per_widening = 2;
 
-/// An owner that has been named gets a report this often until it answers:
-/// the connection to it may just be being made.
+/// An owner that has been named gets a report at each tick until it answers,
+/// for this long: the connection to it may just be being made.
 constexpr duration first_reports{1000};
 
 } // namespace
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -26,7 +26,7 @@
 /// long: not while they are being started or replaced.
 constexpr duration steady_time{1500};
 
-/// Agents greet every entry more often than this.
+/// Agents greet the entries that they are linked to more often than this.
 constexpr duration agent_life{3000};
 
 /// Agents that have not greeted for this long have their links elsewhere.
