Leave no request open that arrives while an HTTP server stops

Cause: the destructor releases the open requests and then stops the daemon; a request that the I/O thread read in between was suspended, and libmicrohttpd aborts when it stops with a suspended connection. Change: the server is marked as stopping under the lock that guards the list of open requests; a request that comes later is answered 503 at once.

--- a/modules/net/src/async_http_server.cpp
+++ b/modules/net/src/async_http_server.cpp
@@ -25,6 +25,10 @@
     bool answered = false;
 };
 
+served_response stopping_response() {
+    return {503, "the process is stopping; retry with another entry\n", {}};
+}
+
 MHD_Result add_query_parameter(void* out, MHD_ValueKind, const char* key,
                                const char* value) {
     static_cast<served_request*>(out)->query[key] = value ? value : "";
@@ -54,6 +58,7 @@
 
     std::mutex mutex;
     MHD_Daemon* daemon = nullptr; // Null after the server is destroyed.
+    bool stopping = false;
     std::set<std::pair<MHD_Connection*, open_request*>> suspended;
 
     MHD_Result answer(MHD_Connection* connection,
@@ -111,6 +116,9 @@
     open.dispatched = true;
     {
         const std::lock_guard lock(mutex);
+        // MHD_stop_daemon() requires that no connection is suspended.
+        if (stopping)
+            return answer(connection, stopping_response());
         suspended.insert({connection, &open});
         MHD_suspend_connection(connection);
     }
@@ -199,11 +207,10 @@
     MHD_Daemon* daemon = nullptr;
     {
         const std::lock_guard lock(shared_->mutex);
+        shared_->stopping = true;
         daemon = std::exchange(shared_->daemon, nullptr);
-        // MHD_stop_daemon() requires that no connection is suspended.
         for (const auto& [connection, open] : shared_->suspended) {
-            open->response = {
-                503, "the process is stopping; retry with another entry\n", {}};
+            open->response = stopping_response();
             open->answered = true;
             MHD_resume_connection(connection);
         }
