Give each scheduling mechanism a switch in the settings

Load: none; needed to measure what each mechanism is worth. A misspelt switch is named with what is allowed, and the process doesn't start. No change of behaviour with all switches on.

--- a/modules/base/include/celerylift/base/settings_reader.hpp
+++ b/modules/base/include/celerylift/base/settings_reader.hpp
@@ -42,7 +42,8 @@
     /// A list of addresses; it may be empty.
     std::vector<base::address> addresses(const std::string& key);
 
-    bool has(const std::string& key) const;
+    /// Whether the mapping has this key, which is an allowed one.
+    bool has(const std::string& key);
     settings_reader section(const std::string& key);
     std::vector<settings_reader> list(const std::string& key);
 
--- a/modules/base/src/settings_reader.cpp
+++ b/modules/base/src/settings_reader.cpp
@@ -166,7 +166,8 @@
     return {host, static_cast<std::uint16_t>(port)};
 }
 
-bool settings_reader::has(const std::string& key) const {
+bool settings_reader::has(const std::string& key) {
+    requested_keys_.insert(key);
     return node_.IsMap() && node_[key].IsDefined();
 }
 
--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -25,6 +25,7 @@
     /// Addresses of entries that may exist. They relay store calls if the store
     /// is unreachable from the start.
     std::vector<std::string> seed_entries{};
+    scheduling_policy policy{};
 };
 
 /// An entry without its sockets: follows the store, serves callers through its
--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -5,6 +5,7 @@
 #include <celerylift/fleet/jobs.hpp>
 #include <celerylift/fleet/placement.hpp>
 #include <celerylift/fleet/runtime.hpp>
+#include <celerylift/fleet/scheduling_policy.hpp>
 #include <celerylift/fleet/server_health.hpp>
 #include <celerylift/fleet/store.hpp>
 
@@ -101,6 +102,7 @@
     /// Passes records that were just written on to this entry and the others.
     std::function<void(const std::vector<store_item>&)> on_records_written;
 
+    scheduling_policy policy{};
     std::int64_t epoch = 0; // 0 while this process does not own the cell.
     time_point active_since{};
     time_point last_new_server_at{}; // Latest first report of any server.
--- /dev/null
+++ b/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace celerylift::fleet {
+
+/// The mechanisms by which the owner decides what runs when and where. Each
+/// can be switched off by the entry's settings, so that its worth can be
+/// measured. Rules that must always hold depend on none of them.
+struct scheduling_policy {
+    /// Work that can still earn a payoff goes before work that cannot.
+    bool order_by_payoff = true;
+    /// Batch work keeps off the emptiest rack until it has waited for long.
+    bool keep_rack_for_urgent = true;
+    /// Large gangs that do not fit reserve the capacity that becomes free.
+    bool reserve_for_gangs = true;
+    /// Work that ends before a reservation is used may run there until then.
+    bool backfill = true;
+    /// Urgent work may preempt outside its organisation's guarantee.
+    bool preempt_beyond_guarantee = true;
+    /// What a task has lost to earlier stops makes it more costly to stop.
+    bool weigh_earlier_losses = true;
+    /// Runs are moved away from servers that turn out to be slow.
+    bool move_from_slow_servers = true;
+    /// Runs are moved away from servers that leave before the runs can end.
+    bool evacuate_leaving_servers = true;
+
+    bool operator==(const scheduling_policy&) const = default;
+};
+
+/// The mechanisms by the name of their switch in the settings.
+const std::vector<std::pair<std::string, bool scheduling_policy::*>>&
+policy_switches();
+
+} // namespace celerylift::fleet
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -68,7 +68,9 @@
                        deactivate(owner_);
                    },
                    [this] { return claim_delay(entries_, settings_.self); }}),
-      owner_{run, records_, [this] { return leadership_.is_valid(); },
+      owner_{run,
+             records_,
+             [this] { return leadership_.is_valid(); },
              [this](const std::string& agent, const OwnerOrders& orders) {
                  FleetEnvelope envelope;
                  *envelope.mutable_orders() = orders;
@@ -76,7 +78,8 @@
              },
              [this](const std::vector<store_item>& items) {
                  notify_entries(items);
-             }},
+             },
+             settings_.policy},
       job_api_{run, records_, nullptr, &job_index_,
                [this](const store_item& item) { notify_entries({item}); }},
       cell_cache_(
--- a/modules/fleet/src/owner_payoff.cpp
+++ b/modules/fleet/src/owner_payoff.cpp
@@ -52,7 +52,8 @@
     const auto* queue = queue_of(self, job);
     // Each occurrence of a recurring job counts from its due time. Lasting work
     // has its payoff for as long as it runs.
-    if (!queue || job.submission.occurrences() > 0 ||
+    if (!self.policy.order_by_payoff || !queue ||
+        job.submission.occurrences() > 0 ||
         std::ranges::any_of(job.submission.steps(), &Step::lasting))
         return payoff::in_full;
     if (ends_within(self, job, occurrence, *queue, declared_run_time, 1))
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -88,7 +88,7 @@
     for (const auto& reservation : self.reservations)
         if (!is_for(reservation, unit) &&
             unit.priority >= reservation.priority &&
-            end >= reservation.ready_at)
+            (!self.policy.backfill || end >= reservation.ready_at))
             subtract_reservation(pass, reservation, candidates);
 }
 
@@ -158,7 +158,8 @@
 void exclude_emptiest_rack(const owner& self, const job& job,
                            const waiting_unit& unit, const task& first,
                            std::vector<candidate_server>& candidates) {
-    if (unit.priority == 0 || has_waited_long(self, job, unit, first))
+    if (!self.policy.keep_rack_for_urgent || unit.priority == 0 ||
+        has_waited_long(self, job, unit, first))
         return;
     const auto rack = emptiest_rack(candidates);
     for (auto& candidate : candidates)
@@ -207,9 +208,10 @@
 
 /// Whether capacity may be reserved for a unit. Only gangs that have waited for
 /// long and can still earn a payoff get a reservation.
-bool may_reserve(const schedule_pass& pass, const job& job,
+bool may_reserve(const owner& self, const schedule_pass& pass, const job& job,
                  const waiting_unit& unit, bool waited_long) {
-    return job.submission.steps(unit.step).gang() && waited_long &&
+    return self.policy.reserve_for_gangs &&
+           job.submission.steps(unit.step).gang() && waited_long &&
            !unit.no_payoff && pass.reservation_plans_left > 0;
 }
 
@@ -224,7 +226,7 @@
     if (has_reservation(self, unit) ||
         reclaim(self, pass, job, occurrence, unit.step, request))
         return;
-    if (may_reserve(pass, job, unit, waited_long))
+    if (may_reserve(self, pass, job, unit, waited_long))
         reserve_ahead(self, pass, job, occurrence, unit.step, candidates,
                       request);
 }
@@ -260,7 +262,7 @@
     const auto attempt = attempt_for(job, waited_long, request);
     const bool known_not_to_fit =
         is_known_not_to_fit(self, pass, unit, attempt);
-    if (known_not_to_fit && !may_reserve(pass, job, unit, waited_long))
+    if (known_not_to_fit && !may_reserve(self, pass, job, unit, waited_long))
         return;
     auto candidates = pass.candidates;
     subtract_other_reservations(self, pass, unit, candidates);
--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -331,8 +331,10 @@
         if (auto& job = self.jobs.at(tasks[i]->name.job);
             has_measurable_progress(job, *tasks[i]))
             check_stall(self, server, job, *tasks[i], stalled_ms[i]);
-    check_speed(self, server, tasks);
-    evacuate(self, server, tasks);
+    if (self.policy.move_from_slow_servers)
+        check_speed(self, server, tasks);
+    if (self.policy.evacuate_leaving_servers)
+        evacuate(self, server, tasks);
 }
 
 } // namespace celerylift::fleet
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -44,8 +44,10 @@
 /// task that has just been restarted would always be the cheapest to stop.
 double task_preemption_cost(const owner& self, const job& job,
                             const task& task) {
-    return unsaved_core_seconds(self, job, task) +
-           task.lost_core_seconds * earlier_loss_weight;
+    const auto unsaved = unsaved_core_seconds(self, job, task);
+    return self.policy.weigh_earlier_losses
+               ? unsaved + task.lost_core_seconds * earlier_loss_weight
+               : unsaved;
 }
 
 double preemption_cost(const owner& self, const job& job, const task& task) {
@@ -281,7 +283,8 @@
     if (priority != 0)
         return false;
     const bool guaranteed = is_guaranteed(self, pass, job, request);
-    if (!guaranteed && payoff_of(self, job, occurrence) != payoff::in_full)
+    if (!guaranteed && (!self.policy.preempt_beyond_guarantee ||
+                        payoff_of(self, job, occurrence) != payoff::in_full))
         return false;
     if (is_known_to_fail(pass, request))
         return false;
--- /dev/null
+++ b/modules/fleet/src/scheduling_policy.cpp
@@ -0,0 +1,21 @@
+#include <celerylift/fleet/scheduling_policy.hpp>
+
+namespace celerylift::fleet {
+
+const std::vector<std::pair<std::string, bool scheduling_policy::*>>&
+policy_switches() {
+    using policy = scheduling_policy;
+    static const std::vector<std::pair<std::string, bool policy::*>> switches{
+        {"order_by_payoff", &policy::order_by_payoff},
+        {"keep_rack_for_urgent", &policy::keep_rack_for_urgent},
+        {"reserve_for_gangs", &policy::reserve_for_gangs},
+        {"backfill", &policy::backfill},
+        {"preempt_beyond_guarantee", &policy::preempt_beyond_guarantee},
+        {"weigh_earlier_losses", &policy::weigh_earlier_losses},
+        {"move_from_slow_servers", &policy::move_from_slow_servers},
+        {"evacuate_leaving_servers", &policy::evacuate_leaving_servers},
+    };
+    return switches;
+}
+
+} // namespace celerylift::fleet
--- a/modules/host/include/celerylift/host/fleet_settings.hpp
+++ b/modules/host/include/celerylift/host/fleet_settings.hpp
@@ -2,6 +2,7 @@
 
 #include <celerylift/base/settings_reader.hpp>
 #include <celerylift/error.hpp>
+#include <celerylift/fleet/scheduling_policy.hpp>
 
 #include <string>
 #include <vector>
@@ -24,6 +25,7 @@
     /// Entries to connect to first. Some may no longer exist; one is this
     /// entry.
     std::vector<base::address> entries;
+    fleet::scheduling_policy policy; // Everything is on by default.
 
     bool operator==(const fleet_entry_settings&) const = default;
 };
--- a/modules/host/src/fleet_entry.cpp
+++ b/modules/host/src/fleet_entry.cpp
@@ -34,6 +34,7 @@
                                    &adapter::decode_config};
     for (const auto& entry : settings.entries)
         out.seed_entries.push_back(to_string(entry));
+    out.policy = settings.policy;
     return out;
 }
 
--- a/modules/host/src/fleet_settings.cpp
+++ b/modules/host/src/fleet_settings.cpp
@@ -31,6 +31,22 @@
     return entries;
 }
 
+/// Reads the switches of the scheduling policy. A mechanism that is not named
+/// is on.
+fleet::scheduling_policy read_policy(base::settings_reader& reader) {
+    fleet::scheduling_policy policy;
+    for (const auto& [name, member] : fleet::policy_switches()) {
+        if (!reader.has(name))
+            continue;
+        const auto value = reader.text(name);
+        if (value != "on" && value != "off")
+            reader.report_invalid(name, "'" + value + "'", "on or off");
+        policy.*member = value != "off";
+    }
+    reader.check_unknown_keys();
+    return policy;
+}
+
 } // namespace
 
 result<fleet_entry_settings>
@@ -57,6 +73,11 @@
         limits.check_unknown_keys();
         reader.merge_error(limits);
     }
+    if (reader.has("policy")) {
+        auto policy = reader.section("policy");
+        settings.policy = read_policy(policy);
+        reader.merge_error(policy);
+    }
     settings.entries = read_entries(reader, settings.link.port);
     reader.check_unknown_keys();
     if (!reader.first_error().empty())
