Let batch work wait for returning servers after a takeover

Cause: after a loss of power the servers return within 0.25 s (11 servers) to 0.8 s (74). Batch work filled the first ones, and the members of urgent gangs, which are fenced one by one, found no rack: they waited for 2 s and more or preempted what had just started. Change: for at most 2.5 s after a takeover, work of lower priority waits while more than one server in eight has not identified itself or runs of urgent work are being fenced. Switch: settle_before_batch. Test: power_loss.is_followed_by_urgent_work_before_batch_work fails without it.

--- a/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
+++ b/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
@@ -14,6 +14,8 @@
     bool order_by_payoff = true;
     /// Batch work keeps off the emptiest rack until it has waited for long.
     bool keep_rack_for_urgent = true;
+    /// After a takeover batch work waits for the servers that return.
+    bool settle_before_batch = true;
     /// Large gangs that do not fit reserve the capacity that becomes free.
     bool reserve_for_gangs = true;
     /// Work that ends before a reservation is used may run there until then.
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -12,6 +12,11 @@
 constexpr duration max_settling_time{500};
 constexpr duration quiet_time_after_new_server{60};
 
+/// After a takeover batch work waits until all but one server in this many have
+/// identified themselves, at most this long: heartbeats are up to 1.5 s apart.
+constexpr std::size_t servers_per_missing_server = 8;
+constexpr duration max_batch_settling_time{2500};
+
 /// Whether a step has tasks that can be placed now. A gang is placed only as a
 /// whole.
 bool can_be_placed(const job& job, const occurrence& occurrence, int step) {
@@ -60,6 +65,37 @@
     return units;
 }
 
+bool is_missing_servers(const owner& self) {
+    const auto missing = static_cast<std::size_t>(
+        std::ranges::count_if(self.servers, [](const auto& entry) {
+            return entry.second.state.incarnation().empty();
+        }));
+    return missing * servers_per_missing_server > self.servers.size();
+}
+
+/// Whether runs of urgent work are being fenced, so that it can start again.
+bool is_fencing_urgent_runs(const owner& self) {
+    return std::ranges::any_of(self.servers, [&](const auto& entry) {
+        return std::ranges::any_of(
+            entry.second.assigned, [&](const auto& assigned) {
+                return assigned.second.task_ref->stopping &&
+                       !assigned.second.job_ref->cancelled &&
+                       priority_of(self, *assigned.second.job_ref) == 0;
+            });
+    });
+}
+
+/// Whether batch work has to wait after a takeover. After a loss of power the
+/// servers return within a second or two of each other, and the members of
+/// urgent gangs are fenced one by one before they can start again. Batch work
+/// would fill the capacity as it appears, and urgent work would have to preempt
+/// it or to wait for its end.
+bool batch_work_waits(const owner& self) {
+    return self.policy.settle_before_batch &&
+           self.run.now() <= self.active_since + max_batch_settling_time &&
+           (is_missing_servers(self) || is_fencing_urgent_runs(self));
+}
+
 void remove_expired_reservations(owner& self) {
     std::erase_if(self.reservations, [&](const reservation& reservation) {
         const auto it = self.jobs.find(reservation.job);
@@ -99,8 +135,10 @@
     if (units.empty())
         return;
     auto pass = begin_pass(self);
+    const bool urgent_only = batch_work_waits(self);
     for (const auto& unit : units)
-        place_unit(self, pass, unit);
+        if (unit.priority == 0 || !urgent_only)
+            place_unit(self, pass, unit);
     self.run.metrics.gauge("units_waiting", static_cast<double>(units.size()));
 }
 
--- a/modules/fleet/src/scheduling_policy.cpp
+++ b/modules/fleet/src/scheduling_policy.cpp
@@ -8,6 +8,7 @@
     static const std::vector<std::pair<std::string, bool policy::*>> switches{
         {"order_by_payoff", &policy::order_by_payoff},
         {"keep_rack_for_urgent", &policy::keep_rack_for_urgent},
+        {"settle_before_batch", &policy::settle_before_batch},
         {"reserve_for_gangs", &policy::reserve_for_gangs},
         {"backfill", &policy::backfill},
         {"preempt_beyond_guarantee", &policy::preempt_beyond_guarantee},
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -793,6 +793,30 @@
     expect_no_violations(fleet);
 }
 
+// The servers returned one after the other. Batch work filled the first ones,
+// and urgent gangs that need a rack had to preempt it or to wait for its end.
+TEST(power_loss, is_followed_by_urgent_work_before_batch_work) {
+    virtual_fleet fleet;
+    for (int n = 1; n <= 2; ++n) {
+        auto gang = make_gang(job_id(n), "ms=9000", 3, whole_server);
+        gang.mutable_steps(0)->set_estimate_ms(9000);
+        fleet.submit(gang, 1, "kwela-key", "/urgent/");
+    }
+    fleet.submit(make_job(job_id(3), "ms=6000", 6, whole_server));
+    ASSERT_TRUE(fleet.sim.run_until([&] { return fleet.history.starts == 6; },
+                                    duration{1000}));
+    lose_power(fleet);
+    for (const int n : {1, 4, 2, 5, 3, 6}) {
+        return_server(fleet, n);
+        fleet.sim.run_for(duration{100});
+    }
+    EXPECT_TRUE(fleet.sim.run_until([&] { return fleet.history.starts == 12; },
+                                    duration{600}));
+    for (const auto& [task, server] : fleet.history.running)
+        EXPECT_FALSE(task.starts_with(job_id(3)));
+    expect_no_violations(fleet);
+}
+
 // A lasting job has no end that could be late. It was ordered behind all other
 // jobs once it had run for several times its declared run time.
 TEST(backlog, restarts_a_lasting_job_in_its_turn) {
