Measure the speed of a resumed run from its first progress

Cause: a run that resumes from a checkpoint makes no progress until that is restored (0.6 s at the new customer, 0.1 s at the earlier ones). The true ratio of run times is 0.6 to 1.4 (5th to 95th percentile). Change: a run is measured from the first progress after its start; until then a stall is allowed one second more.

--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -34,6 +34,9 @@
     int completed_run = 0; // The run that succeeded.
     /// This owner has started the run, without a checkpoint.
     bool started_from_scratch = false;
+    /// This owner has started the run from a checkpoint, and no progress has
+    /// been seen yet.
+    bool is_restoring = false;
     /// A task is moved away from a slow server only once.
     bool moved_from_slow_server = false;
     /// Work that preemptions have lost so far.
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -31,6 +31,7 @@
     task.incarnation = server.state.incarnation();
     task.assigned_at = self.run.now();
     task.started_from_scratch = task.checkpoint.empty();
+    task.is_restoring = !task.started_from_scratch;
     task.ended_in_gang = false;
     task.stopping = false;
     task.seen_running = false;
--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -19,6 +19,8 @@
 constexpr int stall_percents_if_declared = 14;
 /// Added for gangs, whose members begin only once all have started.
 constexpr std::int64_t gang_start_ms = 1000;
+/// Added for runs that restore a checkpoint before they go on.
+constexpr std::int64_t restore_ms = 1000;
 /// A task that has stalled on another server as well may only be far longer
 /// than others. Each stall doubles its limit, up to this many times.
 constexpr int max_stall_doublings = 6;
@@ -67,6 +69,16 @@
     return is_assigned_here ? task : nullptr;
 }
 
+/// A run makes no progress until its checkpoint is restored. Its speed is
+/// measured from the first progress on.
+void follow_restore(const server& server, task& task, int percent) {
+    if (!task.is_restoring)
+        return;
+    task.is_restoring = percent <= task.first_seen_percent;
+    task.first_seen_percent = percent;
+    task.first_seen_ms = server.lists_as_of_ms;
+}
+
 void apply_progress(owner& self, server& server, task& task, int percent) {
     if (!task.seen_running) {
         self.run.journal.event("run_seen", {{"task", to_string(task.name)},
@@ -81,6 +93,7 @@
     if (percent > task.first_seen_percent &&
         run_proves_healthy(self.run.now() - task.first_seen_running_at))
         record_long_run(server.health, self.run.now());
+    follow_restore(server, task, percent);
 }
 
 bool has_measurable_progress(const job& job, const task& task) {
@@ -105,6 +118,8 @@
         expected_run_time(self, job, task.name.step).count() * percents / 100;
     if (step_of(job, task.name).gang() && task.percent == 0)
         limit += gang_start_ms;
+    if (task.is_restoring)
+        limit += restore_ms;
     return limit << std::min(task.stalls, max_stall_doublings);
 }
 
@@ -131,7 +146,7 @@
 double projected_run_time_ms(const server& server, const task& task) {
     const auto ran = server.lists_as_of_ms - task.first_seen_ms;
     const int done = task.percent - task.first_seen_percent;
-    if (ran < min_measured_time_ms)
+    if (task.is_restoring || ran < min_measured_time_ms)
         return 0;
     if (done < min_measured_percent)
         return static_cast<double>(ran) * 100 / min_measured_percent;
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -667,6 +667,24 @@
     EXPECT_EQ(fleet.history.starts, 12);
 }
 
+// A resumed run makes no progress until its checkpoint is restored. That time
+// counted as slowness: runs were stopped again, and healthy servers got no
+// gangs for seconds.
+TEST(backend_server, is_not_taken_for_slow_while_it_restores_checkpoints) {
+    virtual_fleet fleet;
+    for (int n = 1; n <= 6; ++n)
+        fleet.server(n).restore_time = duration{900};
+    constexpr fleet::resources half_server{64'000, 100'000, 4};
+    fleet.submit(make_job(job_id(1), "ms=8000", 12, half_server));
+    fleet.sim.run_for(duration{4000});
+    ASSERT_EQ(fleet.history.starts, 12);
+    fleet.server(1).restart();
+    EXPECT_TRUE(fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED));
+    EXPECT_EQ(fleet.history.resumed_checkpoints.size(), 2U);
+    EXPECT_EQ(fleet.history.starts, 12 + 2);
+    expect_no_violations(fleet);
+}
+
 // ---- Network partitions ----
 
 TEST(agent, that_is_cut_off_lets_its_runs_expire_before_others_start) {
--- a/tests/fleet/virtual_server.hpp
+++ b/tests/fleet/virtual_server.hpp
@@ -64,6 +64,7 @@
     duration remaining{0}; // Announced in heartbeats while it drains.
     fleet::resources capacity{128'000, 262'144, 8};
     int run_time_percent = 100;
+    duration restore_time{0}; // Until a run goes on from its checkpoint.
 
     std::size_t running_count() const { return runs_.size(); }
     std::int64_t highest_fencing_token() const { return fencing_token_; }
