Start no write while the store is known to be away

Load: the store is silent or busy for 4 to 6 s while callers submit. Cause: each write was sent to the silent store and tried again every 0.1 s, so that it might have taken effect, and the caller got "outcome unknown" (504), after which some callers may not repeat their request. Rejected callers were always told to return after 1 s. Ruled out: more of these requests could be served. Holding them serves those whose limit passes later as soon as the store answers. Change: an entry that reaches the store neither itself nor through another entry holds writes until it does, and then sends them; callers whose time is over get a true "not run". Retry-After is half of the time that the outage has lasted, 1 to 8 s, spread per caller. The decisions are functions on a plain struct (store_outage); the clock is monotonic, so that clock jumps extend no outage. Test: store_outage_test; submission_during_a_known_outage.is_refused_and_never_runs fails without the decision.

--- a/modules/fleet/include/celerylift/fleet/job_api.hpp
+++ b/modules/fleet/include/celerylift/fleet/job_api.hpp
@@ -4,11 +4,13 @@
 #include <celerylift/fleet/job_index.hpp>
 #include <celerylift/fleet/runtime.hpp>
 #include <celerylift/fleet/store.hpp>
+#include <celerylift/fleet/store_outage.hpp>
 
 #include <fleet.pb.h>
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 
 namespace celerylift::fleet {
@@ -65,6 +67,10 @@
     job_index* jobs = nullptr;
     /// Reports an item that was written or read to the cache of the store.
     std::function<void(const store_item&)> observe;
+    /// The outage that calls to the store would meet now.
+    std::function<store_outage()> outage;
+    /// Spreads the return of rejected callers.
+    std::minstd_rand random{};
 };
 
 /// `job` needs its id, payload and steps; queue, organisation and time of
--- a/modules/fleet/include/celerylift/fleet/relayed_store.hpp
+++ b/modules/fleet/include/celerylift/fleet/relayed_store.hpp
@@ -2,6 +2,7 @@
 
 #include <celerylift/fleet/runtime.hpp>
 #include <celerylift/fleet/store.hpp>
+#include <celerylift/fleet/store_outage.hpp>
 
 #include <fleet.pb.h>
 
@@ -33,6 +34,9 @@
     /// Handles another entry's reply to a relayed call.
     void handle_reply(const StoreReply& reply);
 
+    /// The outage that calls made now would meet, if one is known.
+    store_outage outage() const;
+
     /// Makes a call on behalf of another entry. Refuses it at once while the
     /// store is unreachable from here as well.
     void serve(const StoreCall& call,
@@ -80,6 +84,7 @@
     /// Returns the entry to relay through, or null where a call is to be made
     /// directly.
     const std::string* choose_entry();
+    bool is_avoided(const std::string& entry) const;
     void relay(const std::string& entry, StoreCall call, duration timeout,
                std::function<void(const StoreReply&)> done);
     void abandon(std::int64_t number);
@@ -88,6 +93,7 @@
     store& direct_;
     sender send_;
     bool cut_off_ = false;
+    time_point cut_off_since_{};
     bool probing_ = false;
     time_point last_answer_at_{};
     std::vector<std::string> entries_;
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -80,8 +80,14 @@
                  notify_entries(items);
              },
              settings_.policy},
-      job_api_{run, records_, nullptr, &job_index_,
-               [this](const store_item& item) { notify_entries({item}); }},
+      job_api_{run,
+               records_,
+               nullptr,
+               &job_index_,
+               [this](const store_item& item) { notify_entries({item}); },
+               [this] { return records_.outage(); },
+               std::minstd_rand{static_cast<std::uint32_t>(
+                   std::hash<std::string>{}(settings_.self.incarnation()))}},
       cell_cache_(
           run, records_, std::string(cell_prefix), duration{0},
           [this](const store_change& change) { handle_cell_change(change); },
--- a/modules/fleet/src/job_api.cpp
+++ b/modules/fleet/src/job_api.cpp
@@ -18,9 +18,6 @@
 /// The part of a caller's timeout that is reserved for returning the answer.
 constexpr duration answer_reserve{150};
 
-/// When callers that are rejected while the store is unreachable should retry.
-constexpr duration retry_after_outage{1000};
-
 constexpr std::size_t max_payload_bytes = 4000;
 constexpr int max_steps = 64;
 constexpr int max_tasks_in_step = 8'000;
@@ -42,12 +39,18 @@
     return reply;
 }
 
-std::variant<admission, answer> admit(const job_api& api, const caller& from) {
+/// When a caller should return that is rejected now.
+duration advised_return(job_api& api) {
+    return retry_after(api.outage(), api.run.now(),
+                       std::uniform_real_distribution<>{0, 1}(api.random));
+}
+
+std::variant<admission, answer> admit(job_api& api, const caller& from) {
     if (!api.config)
         return make_answer(
             answer_kind::unavailable,
             "this entry has not read its configuration yet; use another entry",
-            retry_after_outage);
+            advised_return(api));
     const auto* queue = find_queue(*api.config, from.host, from.path);
     if (!queue)
         return make_answer(answer_kind::unknown_queue,
@@ -70,10 +73,11 @@
     bool write_may_take_effect = false;
     time_point started_at{};
 
-    bool has_time() const {
-        return api.run.now() + answer_reserve + store_retry_period <
-               from.deadline;
+    /// Until when another attempt can still be answered in time.
+    time_point retry_by() const {
+        return from.deadline - answer_reserve - store_retry_period;
     }
+    bool has_time() const { return api.run.now() < retry_by(); }
     duration timeout() const {
         const auto remaining = from.deadline - answer_reserve - api.run.now();
         return std::max(duration{50}, std::min(store_timeout, remaining));
@@ -128,6 +132,18 @@
 
 void store_submission(const call_ptr& call, const Submission& job);
 
+void give_up_submission(const call_ptr& call) {
+    if (call->write_may_take_effect)
+        return finish(
+            call, "hand_in",
+            make_answer(answer_kind::outcome_unknown,
+                        "the store did not answer; submit the same job again"));
+    finish(call, "hand_in",
+           make_answer(answer_kind::not_run,
+                       "the store accepts no writes; submit the job later",
+                       advised_return(call->api)));
+}
+
 void handle_submission_reply(const call_ptr& call, const Submission& job,
                              const transaction_reply& reply) {
     if (reply.status == store_status::ok) {
@@ -152,18 +168,19 @@
         call->write_may_take_effect || reply.status == store_status::unknown;
     if (call->has_time())
         return retry_later(call, [call, job] { store_submission(call, job); });
-    if (call->write_may_take_effect)
-        return finish(
-            call, "hand_in",
-            make_answer(answer_kind::outcome_unknown,
-                        "the store did not answer; submit the same job again"));
-    finish(call, "hand_in",
-           make_answer(answer_kind::not_run,
-                       "the store refuses writes; submit the job later",
-                       retry_after_outage));
+    give_up_submission(call);
 }
 
 void store_submission(const call_ptr& call, const Submission& job) {
+    switch (decide_write(call->api.outage(), call->api.run.now(),
+                         call->retry_by())) {
+    case write_decision::hold:
+        return retry_later(call, [call, job] { store_submission(call, job); });
+    case write_decision::reject:
+        return give_up_submission(call);
+    case write_decision::send:
+        break;
+    }
     const auto key = job_key(call->id, job_part::submission);
     store_transaction write;
     write.expected.push_back({key, 0});
@@ -196,7 +213,7 @@
             finish(call, verb,
                    make_answer(answer_kind::unavailable,
                                "the store did not answer; try again",
-                               retry_after_outage));
+                               advised_return(call->api)));
         });
 }
 
--- a/modules/fleet/src/relayed_store.cpp
+++ b/modules/fleet/src/relayed_store.cpp
@@ -74,6 +74,7 @@
     if (cut_off_ || last_answer_at_ > sent_at)
         return;
     cut_off_ = true;
+    cut_off_since_ = run_.now();
     run_.journal.event("store_cut_off",
                        {{"refused", status == store_status::refused},
                         {"silent_ms", (run_.now() - last_answer_at_).count()},
@@ -94,13 +95,26 @@
         abandon();
 }
 
+bool relayed_store::is_avoided(const std::string& entry) const {
+    const auto it = avoided_until_.find(entry);
+    return it != avoided_until_.end() && run_.now() < it->second;
+}
+
+store_outage relayed_store::outage() const {
+    const bool can_relay =
+        std::ranges::any_of(entries_, [this](const std::string& entry) {
+            return !is_avoided(entry);
+        });
+    return cut_off_ && !can_relay ? store_outage{cut_off_since_}
+                                  : store_outage{};
+}
+
 const std::string* relayed_store::choose_entry() {
     if (!cut_off_)
         return nullptr;
     for (std::size_t i = 0; i < entries_.size(); ++i) {
         const auto& entry = entries_[(next_entry_ + i) % entries_.size()];
-        const auto it = avoided_until_.find(entry);
-        if (it != avoided_until_.end() && run_.now() < it->second)
+        if (is_avoided(entry))
             continue;
         next_entry_ = (next_entry_ + i) % entries_.size();
         return &entry;
