Pause before a task's last attempts, and prefer servers proven sound since

Load: workers that fail all they start, while large urgent gangs arrive. Cause: such a server fails a task within 50 ms, and a gang meets one after the other. Ruled out: exclusion (each server was excluded at its first early failure). Change: a task that has one attempt left pauses for 2 s after its last failure, one that has two left for 0.7 s; servers that have shown since that failure that they are healthy are preferred. Switch: pause_after_failures. Test: backend_server.that_fails_every_run_does_not_fail_an_urgent_gang fails without the pause.

--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -55,6 +55,7 @@
     time_point first_seen_running_at{}; // In the current run.
     time_point waiting_since{};
     std::string avoid_agent; // Where the task last failed or stalled.
+    time_point last_failed_at{};
 };
 
 /// The tasks of a step in one occurrence of the job.
--- a/modules/fleet/include/celerylift/fleet/placement.hpp
+++ b/modules/fleet/include/celerylift/fleet/placement.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celerylift/fleet/resources.hpp>
+#include <celerylift/time.hpp>
 
 #include <functional>
 #include <set>
@@ -24,6 +25,7 @@
     double health_score = 1.0;
     /// A run has recently shown that the server is healthy.
     bool recently_healthy = false;
+    time_point last_healthy_at{};
     /// The server gets a single task until a run shows that it is healthy.
     bool on_probation = false;
     std::size_t rack_number = 0;
@@ -48,8 +50,10 @@
     /// Set only if max_per_server limits them.
     std::vector<std::pair<std::string, int>> running;
     std::set<std::string, std::less<>> avoid;
-    /// Set for work that has failed before: recently healthy servers go first.
+    /// Set for work that has failed before: servers that have shown since its
+    /// last failure that they are healthy go first, then recently healthy ones.
     bool prefer_recently_healthy = false;
+    time_point last_failed_at{};
     /// Excludes degraded servers. Set for work that a single slow or failing
     /// server delays as a whole.
     bool healthy_only = false;
--- a/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
+++ b/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
@@ -24,6 +24,8 @@
     bool preempt_beyond_guarantee = true;
     /// What a task has lost to earlier stops makes it more costly to stop.
     bool weigh_earlier_losses = true;
+    /// Tasks with few attempts left pause after a failure.
+    bool pause_after_failures = true;
     /// Runs are moved away from servers that turn out to be slow.
     bool move_from_slow_servers = true;
     /// Runs are moved away from servers that leave before the runs can end.
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -78,6 +78,7 @@
         candidate.free -= server.usage.in_use;
         candidate.health_score = is_degraded(server.health, now) ? 0.0 : 1.0;
         candidate.recently_healthy = is_recently_healthy(server.health, now);
+        candidate.last_healthy_at = server.health.last_healthy_at;
         candidate.on_probation = server.health.on_probation;
         pass.index.emplace(agent, pass.candidates.size());
         pass.candidates.push_back(candidate);
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -91,6 +91,7 @@
     task.avoid_agent = task.agent;
     if (!step_of(job, task.name).gang()) {
         ++task.failures;
+        task.last_failed_at = now;
         return;
     }
     // The run of a gang counts as one failure, however many members report it.
@@ -99,8 +100,10 @@
         if (member.counted_failed_run == task.run)
             return;
     task.counted_failed_run = task.run;
-    for (auto& member : members)
+    for (auto& member : members) {
         ++member.failures;
+        member.last_failed_at = now;
+    }
 }
 
 bool has_no_attempts_left(const owner& self, const job& job, const task& task) {
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -24,6 +24,25 @@
 /// preemption alone may make urgent work miss its objective.
 constexpr int long_wait_percent = 60;
 
+/// Pauses before the last attempt of a task and before the one ahead of it. A
+/// server that fails all it starts takes 50 ms for that, and a large gang meets
+/// one server after the other: without a pause it has no attempt left before
+/// they are known. The last pause is shorter than the time in which a task must
+/// be running again.
+constexpr duration pause_before_last_attempt{2000};
+constexpr duration pause_before_second_last_attempt{700};
+
+/// Whether a task has failed too recently to be started again.
+bool is_pausing(const owner& self, const job& job, const task& task) {
+    if (task.failures == 0 || !self.policy.pause_after_failures)
+        return false;
+    const int attempts_left = queue_of(self, job)->max_attempts - task.failures;
+    const auto pause = attempts_left <= 1   ? pause_before_last_attempt
+                       : attempts_left == 2 ? pause_before_second_last_attempt
+                                            : duration{0};
+    return self.run.now() < task.last_failed_at + pause;
+}
+
 void assign(owner& self, job& job, task& task, server& server, int run) {
     task.phase = task_phase::assigned;
     task.run = run;
@@ -244,6 +263,7 @@
         if (!task.avoid_agent.empty())
             request.avoid.insert(task.avoid_agent);
     request.prefer_recently_healthy = !request.avoid.empty();
+    request.last_failed_at = tasks.front().last_failed_at;
     // A single rack is preferred as long as one could hold the gang, degraded
     // servers included.
     relax_rack(self, job, unit, pass.candidates, tasks.front(), request);
@@ -258,6 +278,8 @@
                 const waiting_unit& unit) {
     auto& occurrence = job.occurrences[unit.occurrence];
     auto& tasks = occurrence.steps[static_cast<std::size_t>(unit.step)].tasks;
+    if (is_pausing(self, job, tasks.front()))
+        return;
     const auto request = request_for_gang(self, pass, job, unit);
     const bool waited_long = has_waited_long(self, job, unit, tasks.front());
     const auto attempt = attempt_for(job, waited_long, request);
@@ -283,11 +305,13 @@
         assign_candidate(self, pass, job, tasks[i], chosen[i], run + 1);
 }
 
-/// Returns the waiting tasks of a step. Those that avoid no server come first.
-std::vector<task*> waiting_tasks(step_run& step) {
+/// Returns the tasks of a step that can be started. Those that avoid no server
+/// come first.
+std::vector<task*> tasks_to_start(const owner& self, const job& job,
+                                  step_run& step) {
     std::vector<task*> waiting;
     for (auto& task : step.tasks)
-        if (task.phase == task_phase::waiting)
+        if (task.phase == task_phase::waiting && !is_pausing(self, job, task))
             waiting.push_back(&task);
     std::stable_partition(waiting.begin(), waiting.end(), [](const task* task) {
         return task->avoid_agent.empty();
@@ -313,6 +337,7 @@
     if (!avoid.empty())
         request.avoid.insert(avoid);
     request.prefer_recently_healthy = !avoid.empty();
+    request.last_failed_at = tasks[next]->last_failed_at;
     request.may_probe = may_probe(self, job, avoid);
     relax_avoidance(pass.candidates, request);
     const auto group_end = std::find_if(
@@ -331,8 +356,10 @@
 void place_independent_tasks(owner& self, schedule_pass& pass, job& job,
                              const waiting_unit& unit) {
     auto& occurrence = job.occurrences[unit.occurrence];
-    const auto tasks =
-        waiting_tasks(occurrence.steps[static_cast<std::size_t>(unit.step)]);
+    const auto tasks = tasks_to_start(
+        self, job, occurrence.steps[static_cast<std::size_t>(unit.step)]);
+    if (tasks.empty())
+        return;
     const auto& first = *tasks.front();
     const bool waited_long = has_waited_long(self, job, unit, first);
     auto request = request_for(self, job, occurrence, unit.step);
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -36,9 +36,20 @@
         request.max_per_server - already_running(server, request), 0, slots);
 }
 
-/// Lower is better: servers that are not degraded, recently healthy ones if
+/// Lower is better: servers that are not degraded, those shown to be healthy if
 /// the request prefers them, the preferred rack, then the least free capacity.
-using preference = std::tuple<bool, bool, bool, std::int64_t, std::int64_t>;
+using preference = std::tuple<bool, int, bool, std::int64_t, std::int64_t>;
+
+/// How little is known about a server's health; 0 if that does not matter.
+int health_uncertainty(const candidate_server& server,
+                       const placement_request& request) {
+    if (!request.prefer_recently_healthy)
+        return 0;
+    if (server.recently_healthy &&
+        server.last_healthy_at > request.last_failed_at)
+        return 0;
+    return server.recently_healthy ? 1 : 2;
+}
 
 bool is_outside_preferred_rack(const candidate_server& server,
                                const placement_request& request) {
@@ -82,8 +93,7 @@
     group.slots += slots;
     if (slots > 0)
         group.servers.push_back(
-            {{degraded,
-              request.prefer_recently_healthy && !server.recently_healthy,
+            {{degraded, health_uncertainty(server, request),
               outside_preferred_rack, server.free.accelerators,
               server.free.millicores},
              index,
--- a/modules/fleet/src/scheduling_policy.cpp
+++ b/modules/fleet/src/scheduling_policy.cpp
@@ -13,6 +13,7 @@
         {"backfill", &policy::backfill},
         {"preempt_beyond_guarantee", &policy::preempt_beyond_guarantee},
         {"weigh_earlier_losses", &policy::weigh_earlier_losses},
+        {"pause_after_failures", &policy::pause_after_failures},
         {"move_from_slow_servers", &policy::move_from_slow_servers},
         {"evacuate_leaving_servers", &policy::evacuate_leaving_servers},
     };
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -510,6 +510,27 @@
         EXPECT_TRUE(fleet.wait_for_state(job_id(n), fleet::JOB_COMPLETED)) << n;
 }
 
+// An urgent gang met one server after the other that fails all it starts. Its
+// four attempts were spent within 0.8 s, while sound servers were about to
+// become free.
+TEST(backend_server, that_fails_every_run_does_not_fail_an_urgent_gang) {
+    virtual_fleet fleet{virtual_fleet::fleet_size{3, 14, 7}};
+    for (int n = 1; n <= 7; ++n)
+        fleet.server(n).fails_all_runs = true;
+    auto sound = make_job(job_id(1), "ms=2500", 7, whole_server);
+    sound.mutable_steps(0)->set_required_label("rack-1");
+    fleet.submit(sound, 1, "cwm-key", "/urgent/");
+    ASSERT_TRUE(fleet.sim.run_until([&] { return fleet.history.starts == 7; },
+                                    duration{1000}));
+    fleet.sim.run_for(duration{500});
+    auto gang = make_gang(job_id(2), "ms=1500", 2, whole_server);
+    gang.mutable_steps(0)->set_same_rack(false);
+    fleet.submit(gang, 1, "kwela-key", "/urgent/");
+    EXPECT_TRUE(
+        fleet.wait_for_state(job_id(2), fleet::JOB_COMPLETED, duration{9000}));
+    expect_no_violations(fleet);
+}
+
 TEST(backend_server, with_stalled_runs_has_them_restarted) {
     virtual_fleet fleet;
     fleet.submit(make_job(job_id(1), "ms=500", 1, small));
