--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -38,6 +38,14 @@
 /// changes nothing.
 void apply_end(owner& self, server& server, const EndedTask& end);
 
+/// Counts a failed run against its server and against the attempts of its task
+/// or gang.
+void count_failure(owner& self, server& server, job& job, task& task);
+bool has_no_attempts_left(const owner& self, const job& job, const task& task);
+
+/// Whether a task has failed too recently to be started again.
+bool is_pausing(const owner& self, const job& job, const task& task);
+
 /// Handles a run that cannot exist any more. Its task waits again.
 void lose_run(owner& self, task& task, const char* why);
 
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -73,45 +73,6 @@
     requeue_gang_if_ended(self, step);
 }
 
-void count_failure(owner& self, server& server, job& job, task& task) {
-    const auto now = self.run.now();
-    const bool excluded = is_excluded(server.health, now);
-    record_failure(server.health, now,
-                   task.seen_running ? now - task.first_seen_running_at
-                                     : duration{0});
-    if (!excluded && is_excluded(server.health, now)) {
-        self.run.journal.event(
-            "server_excluded",
-            {{"agent", server.agent},
-             {"task", to_string(task.name)},
-             {"failures_in_row", server.health.consecutive_failures},
-             {"for_ms", (server.health.excluded_until - now).count()}});
-        self.run.metrics.count("servers_excluded_total");
-    }
-    task.avoid_agent = task.agent;
-    if (!step_of(job, task.name).gang()) {
-        ++task.failures;
-        task.last_failed_at = now;
-        return;
-    }
-    // The run of a gang counts as one failure, however many members report it.
-    auto& members = step_run_of(job, task.name).tasks;
-    for (const auto& member : members)
-        if (member.counted_failed_run == task.run)
-            return;
-    task.counted_failed_run = task.run;
-    for (auto& member : members) {
-        ++member.failures;
-        member.last_failed_at = now;
-    }
-}
-
-bool has_no_attempts_left(const owner& self, const job& job, const task& task) {
-    const auto* queue = queue_of(self, job);
-    return queue && !step_of(job, task.name).lasting() &&
-           task.failures >= queue->max_attempts;
-}
-
 /// Adds a run to the estimate of its queue. Declared times are off by up to
 /// nine tenths, so observed times are preferred.
 void update_run_time_estimate(owner& self, job& job, const task& task) {
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -24,25 +24,6 @@
 /// preemption alone may make urgent work miss its objective.
 constexpr int long_wait_percent = 60;
 
-/// Pauses before the last attempt of a task and before the one ahead of it. A
-/// server that fails all it starts takes 50 ms for that, and a large gang meets
-/// one server after the other: without a pause it has no attempt left before
-/// they are known. The last pause is shorter than the time in which a task must
-/// be running again.
-constexpr duration pause_before_last_attempt{2000};
-constexpr duration pause_before_second_last_attempt{700};
-
-/// Whether a task has failed too recently to be started again.
-bool is_pausing(const owner& self, const job& job, const task& task) {
-    if (task.failures == 0 || !self.policy.pause_after_failures)
-        return false;
-    const int attempts_left = queue_of(self, job)->max_attempts - task.failures;
-    const auto pause = attempts_left <= 1   ? pause_before_last_attempt
-                       : attempts_left == 2 ? pause_before_second_last_attempt
-                                            : duration{0};
-    return self.run.now() < task.last_failed_at + pause;
-}
-
 void assign(owner& self, job& job, task& task, server& server, int run) {
     task.phase = task_phase::assigned;
     task.run = run;
