--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,6 +9,7 @@
 from fleet import TROUBLE, config, job, now_ms, run_case
 
 FINISH_S = 14
+DARK_S = 3.5        # node_kill power of the site.
 LATER_JOBS = 6
 
 
@@ -21,10 +22,12 @@
     await asyncio.sleep(1)
     runner = fleet.runner_of(fleet.running(task)[0])
     if TROUBLE:
+        # The machine loses power. The agent is started again when it is back;
+        # the backend server is lost for good.
         runner.crash()
-        await asyncio.sleep(1.5)
+        fleet.start_delay_s = DARK_S
         fleet.signal(f"agent-{runner.number}", signal.SIGKILL)
-    await asyncio.sleep(6)
+    await asyncio.sleep(9)
     for name in names[1:]:
         await fleet.call(2, "POST", f"/lohu930/{name}",
                          job({"ms": 1000}, count=2))
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -500,8 +500,10 @@
         self.processes = {}
         self.ended = []       # (name, code, time) of ends by themselves.
         self.expected_ends = set()
+        self.start_delay_s = 1.0
         self.restart = {}
         self.tasks = []
+        self.fault = None
         self.runs = []
         self.on_start = lambda run: None
         self.entry_count, self.runner_count = entries, runners
@@ -515,7 +517,14 @@
         return f"127.0.0.{10 + n}"
 
     def spawn(self, work):
-        self.tasks.append(asyncio.ensure_future(work))
+        async def guarded():
+            try:
+                await work
+            except Exception as e:  # A fault of a stand-in is no result.
+                self.fault = e
+                raise
+
+        self.tasks.append(asyncio.ensure_future(guarded()))
 
     def seeds(self):
         return ", ".join(f"{self.entry_host(n)}:1"
@@ -573,7 +582,7 @@
                 code = process.returncode
                 if name in self.expected_ends:
                     self.expected_ends.discard(name)
-                    delay = 1.0
+                    delay = self.start_delay_s
                     self.record(f"platform: {name} has ended ({code})")
                 else:
                     self.ended.append((name, code, now_ms()))
@@ -720,9 +729,14 @@
     async def main():
         fleet = Fleet(folder, **settings)
         fleet.record(f"trouble: {'yes' if TROUBLE else 'no'}")
+        work = asyncio.ensure_future(asyncio.wait_for(scenario(fleet), 115))
+        for what in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(what, work.cancel)
         try:
-            broken = await asyncio.wait_for(scenario(fleet), 115)
-        except (RuntimeError, asyncio.TimeoutError, OSError) as e:
+            broken = await work
+            if fleet.fault:
+                raise fleet.fault
+        except (Exception, asyncio.CancelledError) as e:
             fleet.record(f"the case could not run: {e!r}")
             return NOT_RUN
         finally:
