Log the incarnations of a lost run and of the report that lost it

Of the hypotheses on two runs of one task, a wrong claim about another incarnation of a server could not be told from a right one: run_lost named the agent only. It now names the incarnation that the run was assigned to, and the one that the agent reported last. No decision is changed.

--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -229,10 +229,17 @@
 
 void lose_run(owner& self, task& task, const char* why) {
     auto& job = self.jobs.at(task.name.job);
-    self.run.journal.event("run_lost", {{"task", to_string(task.name)},
-                                        {"run", task.run},
-                                        {"agent", task.agent},
-                                        {"why", why}});
+    const auto server = self.servers.find(task.agent);
+    self.run.journal.event(
+        "run_lost", {{"task", to_string(task.name)},
+                     {"run", task.run},
+                     {"agent", task.agent},
+                     {"incarnation", task.incarnation},
+                     {"reported_incarnation",
+                      server == self.servers.end()
+                          ? std::string{}
+                          : server->second.state.incarnation()},
+                     {"why", why}});
     self.run.metrics.count("runs_lost_total");
     if (step_of(job, task.name).gang())
         resolve_member(self, job, task, why);
