Follow an incarnation only once its server has answered for it

What callers could see: two runs of one task.

Cause: any heartbeat with a later start displaced the server that an agent follows. One that was held up until after a restart of the agent, or one of another writer, made the agent report an incarnation that has none of the runs. The owner took them for lost and started the tasks elsewhere, while they ran. Same class of fault: a claim about one incarnation taken for knowledge about another.

Change: a heartbeat of another incarnation is kept aside, and the server is polled under the announced id, without a lease and without acknowledging ends. The agent follows it once that poll is answered by the same id and start, and drops it when the server disowns it (heartbeat_disowned). On the host this takes one loopback call more for each new incarnation.

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -8,6 +8,7 @@
 #include <compare>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,13 @@
     bool departed = false;
     bool stopping = false;
 
+    /// A heartbeat of another incarnation than the one followed. It may be late
+    /// or from another writer, so the agent follows that incarnation only once
+    /// the server has answered for it.
+    std::optional<server_heartbeat> announced{};
+    bool identity_poll_open = false;
+    time_point next_identity_poll_at{};
+
     std::int64_t epoch = 0; // Of the owner that the agent follows.
     time_point granted_until{};
     /// The owner has stored the ends of runs up to this number.
@@ -104,7 +112,8 @@
 };
 
 /// Handles a heartbeat of the server. Returns false for a late heartbeat of an
-/// earlier incarnation, which is ignored.
+/// earlier incarnation, which is ignored. One of another incarnation takes
+/// effect once the server has answered a poll for it.
 bool on_heartbeat(agent& self, const server_heartbeat& heartbeat);
 
 /// Handles the server's announcement that it has ended.
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -102,6 +102,12 @@
         send_report(self);
 }
 
+/// Whether a reply to a poll comes from the incarnation of a heartbeat.
+bool is_from(const poll_reply& reply, const server_heartbeat& heartbeat) {
+    return reply.started_unix_ms == 0 || heartbeat.started_unix_ms == 0 ||
+           reply.started_unix_ms == heartbeat.started_unix_ms;
+}
+
 void handle_poll_reply(agent& self, const poll_reply& reply,
                        time_point requested_at) {
     if (reply.status == server_status::other_incarnation) {
@@ -116,9 +122,7 @@
         self.next_long_poll_at = self.run.now() + poll_retry_delay;
         return;
     }
-    if (reply.started_unix_ms != 0 &&
-        self.last_heartbeat.started_unix_ms != 0 &&
-        reply.started_unix_ms != self.last_heartbeat.started_unix_ms) {
+    if (!is_from(reply, self.last_heartbeat)) {
         // A new incarnation of the same id, whose heartbeat has not come yet.
         self.incarnation_confirmed = false;
         self.next_long_poll_at = self.run.now() + poll_retry_delay;
@@ -165,6 +169,43 @@
         });
 }
 
+void handle_identity_reply(agent& self, const std::string& incarnation,
+                           const poll_reply& reply, time_point requested_at) {
+    if (!self.announced || incarnation_of(*self.announced) != incarnation)
+        return; // Superseded by a later heartbeat.
+    if (reply.status == server_status::other_incarnation ||
+        (reply.status == server_status::ok &&
+         !is_from(reply, *self.announced))) {
+        self.run.journal.event(
+            "heartbeat_disowned",
+            {{"announced", incarnation}, {"followed", self.incarnation}});
+        self.announced.reset();
+        return;
+    }
+    if (reply.status != server_status::ok) {
+        self.next_identity_poll_at = self.run.now() + poll_retry_delay;
+        return;
+    }
+    follow_new_incarnation(self, *std::exchange(self.announced, std::nullopt));
+    handle_poll_reply(self, reply, requested_at);
+}
+
+/// Asks the server whether it is the incarnation that was announced. Extends no
+/// lease and acknowledges no end.
+void poll_identity(agent& self) {
+    poll_call call;
+    call.fencing_token = self.epoch;
+    self.identity_poll_open = true;
+    self.backend.poll_runs(
+        self.announced->id, call,
+        [&self, incarnation = incarnation_of(*self.announced),
+         requested_at = self.run.now()](const poll_reply& reply) {
+            self.identity_poll_open = false;
+            handle_identity_reply(self, incarnation, reply, requested_at);
+            send_due_calls(self);
+        });
+}
+
 duration poll_wait(const agent& self) {
     if (!self.clock_known)
         return duration{0};
@@ -189,8 +230,8 @@
     if (heartbeat.started_unix_ms < self.last_heartbeat.started_unix_ms)
         return false;
     if (self.incarnation != incarnation_of(heartbeat)) {
-        follow_new_incarnation(self, heartbeat);
-        send_report(self);
+        self.announced = heartbeat;
+        self.next_identity_poll_at = {};
     } else if (heartbeat.sequence > self.last_heartbeat.sequence) {
         const bool changed = heartbeat.draining != self.last_heartbeat.draining;
         apply_heartbeat(self, heartbeat);
@@ -255,6 +296,9 @@
 }
 
 void send_due_calls(agent& self) {
+    if (self.announced && !self.identity_poll_open &&
+        self.run.now() >= self.next_identity_poll_at)
+        poll_identity(self);
     if (self.incarnation.empty())
         return;
     advance_orders(self);
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -18,6 +18,7 @@
     std::deque<std::pair<fleet::poll_call,
                          std::function<void(const fleet::poll_reply&)>>>
         polls;
+    std::string last_polled_id;
     std::function<void(const fleet::server_reply&)> last_start;
     std::function<void(const fleet::server_reply&)> last_stop;
 
@@ -32,11 +33,21 @@
         last_stop = std::move(done);
     }
     void
-    poll_runs(const std::string&, const fleet::poll_call& call,
+    poll_runs(const std::string& id, const fleet::poll_call& call,
               std::function<void(const fleet::poll_reply&)> done) override {
+        last_polled_id = id;
         polls.emplace_back(call, std::move(done));
     }
 
+    /// Answers the newest poll as a server with another id does.
+    void disown() {
+        fleet::poll_reply reply;
+        reply.status = fleet::server_status::other_incarnation;
+        auto call = polls.back();
+        polls.pop_back();
+        call.second(reply);
+    }
+
     /// Answers the oldest or the newest poll of the runs.
     void answer(bool oldest, std::int64_t clock_ms,
                 const std::vector<std::string>& running) {
@@ -193,4 +204,31 @@
     EXPECT_EQ(fixture.report.server().remaining_ms(), 500);
 }
 
+// A heartbeat that was held up, or another writer's, displaced the server. Its
+// tasks were started elsewhere while they ran.
+TEST(single_agent, follows_no_incarnation_that_the_server_does_not_answer_for) {
+    agent_fixture fixture;
+    const auto followed = fixture.agent.incarnation;
+    auto foreign = fixture.agent.last_heartbeat;
+    foreign.id = "i-0";
+    foreign.started_unix_ms = 9;
+    fleet::on_heartbeat(fixture.agent, foreign);
+    ASSERT_EQ(fixture.server.last_polled_id, "i-0");
+    fixture.server.disown();
+    fleet::report_now(fixture.agent);
+    EXPECT_EQ(fixture.report.server().incarnation(), followed);
+    EXPECT_FALSE(fixture.report.server().departed());
+}
+
+TEST(single_agent, follows_another_incarnation_once_the_server_answers_for_it) {
+    agent_fixture fixture;
+    auto next = fixture.agent.last_heartbeat;
+    next.id = "i-2";
+    next.started_unix_ms = 9;
+    fleet::on_heartbeat(fixture.agent, next);
+    fixture.server.answer(false, 40, {});
+    fleet::report_now(fixture.agent);
+    EXPECT_EQ(fixture.report.server().incarnation(), "i-2@9");
+}
+
 } // namespace celerylift::test
