Virtual servers: tasks that crash them, slow stops and a check of capacity

A payload of crash=N crashes the server of the run, which is back after three seconds as a new incarnation. A stop may take a time, in which the run keeps its resources. A start beyond the capacity is a violation, and so is the third further start of a task under which three servers have crashed. A server that is down no longer sends heartbeats.

--- a/tests/fleet/virtual_fleet.cpp
+++ b/tests/fleet/virtual_fleet.cpp
@@ -173,7 +173,8 @@
 }
 
 void virtual_fleet::send_heartbeat(int agent) {
-    if (agents_.contains(agent))
+    // A server that has crashed sends nothing.
+    if (agents_.contains(agent) && servers_.at(agent)->is_up())
         fleet::on_heartbeat(agents_.at(agent)->node->state(),
                             servers_.at(agent)->heartbeat());
     sim.after(heartbeat_period, [this, agent] { send_heartbeat(agent); });
@@ -264,11 +265,19 @@
     return answer.value_or(fleet::answer{});
 }
 
+void virtual_fleet::record_submission(const fleet::Submission& job) {
+    history.payloads[job.id()] = job.payload();
+    auto& needs = history.needs[job.id()];
+    needs.clear();
+    for (const auto& step : job.steps())
+        needs.push_back(fleet::from_record(step.each()));
+}
+
 fleet::answer virtual_fleet::submit(const fleet::Submission& job, int entry,
                                     const std::string& key,
                                     const std::string& path) {
     auto answer = std::make_shared<std::optional<fleet::answer>>();
-    history.payloads[job.id()] = job.payload();
+    record_submission(job);
     fleet::submit(entries_.at(entry)->node->api(),
                   make_caller(job.id(), key, path), job,
                   [answer](const fleet::answer& a) { *answer = a; });
@@ -278,7 +287,7 @@
 void virtual_fleet::submit_async(const fleet::Submission& job, int entry,
                                  const std::string& key,
                                  const std::string& path) {
-    history.payloads[job.id()] = job.payload();
+    record_submission(job);
     submissions_[job.id()] = {job, key, path};
     if (entries_.contains(entry))
         fleet::submit(entries_.at(entry)->node->api(),
--- a/tests/fleet/virtual_fleet.hpp
+++ b/tests/fleet/virtual_fleet.hpp
@@ -59,6 +59,9 @@
 
     virtual_server& server(int number) { return *servers_.at(number); }
     fleet::entry_node& entry(int number) { return *entries_.at(number)->node; }
+    fleet::agent& agent(int number) {
+        return agents_.at(number)->node->state();
+    }
 
     /// Submits a job to an entry and waits for the answer.
     fleet::answer submit(const fleet::Submission& job, int entry = 1,
@@ -100,6 +103,7 @@
     };
 
     std::weak_ptr<int> entry_liveness(int number) const;
+    void record_submission(const fleet::Submission& job);
     void send_heartbeat(int agent);
     void send_to_entry(int agent, const std::string& address,
                        const fleet::FleetEnvelope& envelope);
--- a/tests/fleet/virtual_server.cpp
+++ b/tests/fleet/virtual_server.cpp
@@ -1,5 +1,7 @@
 #include "virtual_server.hpp"
 
+#include <celerylift/fleet/names.hpp>
+
 #include <fmt/format.h>
 
 namespace celerylift::test {
@@ -13,10 +15,45 @@
 constexpr duration tick_period{5};
 constexpr duration failing_run_time{50};
 constexpr duration hanging_run_time{1'000'000};
+constexpr duration harmless_run_time{2000};
+constexpr duration outage_after_crash{3000};
+/// How long after a reduction a start may still exceed the capacity: until the
+/// server counts as steady, and one heartbeat more.
+constexpr duration capacity_notice{3500};
+/// A task is not started this often after as many servers have crashed under
+/// it.
+constexpr int max_crashes = 3;
 constexpr int percent = 100;
+constexpr std::string_view crash_prefix = "crash=";
+constexpr std::string_view index_field = " index=";
+
+/// Whether a run of a task crashes its server.
+bool is_deadly(const std::string& payload, const std::string& task) {
+    if (!payload.starts_with(crash_prefix))
+        return false;
+    const auto field = payload.find(index_field);
+    return field == std::string::npos ||
+           task.substr(task.rfind('.') + 1) ==
+               payload.substr(field + index_field.size());
+}
+
+/// The number of milliseconds after the prefix of a payload.
+duration time_in(const std::string& payload, std::string_view prefix) {
+    return duration{std::stoll(payload.substr(prefix.size()))};
+}
 
 } // namespace
 
+fleet::resources need_of(const run_history& history, const std::string& task) {
+    const auto name = fleet::parse_task_name(task);
+    const auto needs =
+        name ? history.needs.find(name->job) : history.needs.end();
+    const auto step = name ? static_cast<std::size_t>(name->step) : 0;
+    return needs != history.needs.end() && step < needs->second.size()
+               ? needs->second[step]
+               : fleet::resources{};
+}
+
 class virtual_server_client : public fleet::backend_server {
 public:
     virtual_server_client(virtual_server& server, std::weak_ptr<int> liveness)
@@ -128,7 +165,7 @@
     heartbeat.service = "order-desk";
     heartbeat.rack = rack_;
     heartbeat.labels = {"a", rack_};
-    heartbeat.capacity = capacity;
+    heartbeat.capacity = capacity_;
     heartbeat.draining = draining;
     heartbeat.remaining = remaining;
     return heartbeat;
@@ -146,19 +183,32 @@
                                                       !earlier.acknowledged);
     if (up_) {
         std::vector<std::pair<run_key, fleet::RunEnd>> finished;
+        std::vector<std::string> deadly;
         for (const auto& [key, active] : runs_) {
-            if (clock() >= deadline_ms_)
-                finished.emplace_back(key, fleet::RUN_LAPSED);
-            else if (sim_.now >= active.ends)
-                finished.emplace_back(key, active.fails ? fleet::RUN_FAILED
-                                                        : fleet::RUN_DONE);
+            const auto how = due_end(active);
+            if (how == fleet::RUN_DONE && active.crashes_server)
+                deadly.push_back(key.first);
+            else if (how)
+                finished.emplace_back(key, *how);
         }
         for (const auto& [key, how] : finished)
             end(key, how);
+        if (!deadly.empty())
+            crash_under(deadly);
     }
     sim_.after(tick_period, [this] { tick(); });
 }
 
+std::optional<fleet::RunEnd> virtual_server::due_end(const run& active) const {
+    if (clock() >= deadline_ms_)
+        return fleet::RUN_LAPSED;
+    if (sim_.now >= active.ends)
+        return active.fails ? fleet::RUN_FAILED : fleet::RUN_DONE;
+    if (active.stops_at && sim_.now >= *active.stops_at)
+        return fleet::RUN_STOPPED;
+    return std::nullopt;
+}
+
 void virtual_server::end(const run_key& key, fleet::RunEnd how) {
     runs_.erase(key);
     history_.running.erase(key.first);
@@ -208,6 +258,16 @@
     }
     ++history_.starts;
     ++history_.starts_by_task[call.task];
+    check_start(call);
+    check_capacity(call.task);
+    history_.running[call.task] = id_;
+    runs_[key] = begin_run(call);
+    extend(call.deadline_ms);
+    reply.status = fleet::server_status::ok;
+    return reply;
+}
+
+void virtual_server::check_start(const fleet::start_call& call) {
     const auto job = call.task.substr(0, call.task.find('.'));
     if (history_.payloads.contains(job) &&
         history_.payloads.at(job) != call.payload)
@@ -219,7 +279,38 @@
         if (earlier.acknowledged && !earlier.expired)
             history_.violations.push_back(
                 call.task + " was started after its end was acknowledged");
-    history_.running[call.task] = id_;
+    const auto limit = history_.start_limits.find(call.task);
+    if (limit != history_.start_limits.end() &&
+        history_.starts_by_task[call.task] >= limit->second)
+        history_.violations.push_back(
+            call.task + " was started too often after it crashed servers");
+}
+
+void virtual_server::check_capacity(const std::string& task) {
+    auto used = need_of(history_, task);
+    for (const auto& [key, active] : runs_)
+        used += need_of(history_, key.first);
+    if (!fits(used, largest_recent_capacity()))
+        history_.violations.push_back(
+            fmt::format("{} exceeds the capacity of {}", task, id_));
+}
+
+fleet::resources virtual_server::largest_recent_capacity() const {
+    auto largest = capacity_;
+    for (const auto& [until, former] : former_capacities_)
+        if (sim_.now < until + capacity_notice)
+            largest = {std::max(largest.millicores, former.millicores),
+                       std::max(largest.memory_mb, former.memory_mb),
+                       std::max(largest.accelerators, former.accelerators)};
+    return largest;
+}
+
+void virtual_server::set_capacity(const fleet::resources& capacity) {
+    former_capacities_.emplace_back(sim_.now, capacity_);
+    capacity_ = capacity;
+}
+
+virtual_server::run virtual_server::begin_run(const fleet::start_call& call) {
     run started;
     started.payload = call.payload;
     started.began = sim_.now;
@@ -228,8 +319,12 @@
     if (call.payload == "hang")
         run_time = hanging_run_time;
     else if (!started.fails && call.payload.starts_with("ms="))
-        run_time = duration{std::stoll(call.payload.substr(3))} *
-                   run_time_percent / percent;
+        run_time = time_in(call.payload, "ms=") * run_time_percent / percent;
+    else if (!started.fails && call.payload.starts_with(crash_prefix)) {
+        started.crashes_server = is_deadly(call.payload, call.task);
+        run_time = started.crashes_server ? time_in(call.payload, crash_prefix)
+                                          : harmless_run_time;
+    }
     if (!call.checkpoint.empty()) {
         started.initial_progress = duration{std::stoll(call.checkpoint)};
         started.began += restore_time;
@@ -237,10 +332,7 @@
     }
     started.ends = started.began +
                    std::max(duration{1}, run_time - started.initial_progress);
-    runs_[key] = started;
-    extend(call.deadline_ms);
-    reply.status = fleet::server_status::ok;
-    return reply;
+    return started;
 }
 
 fleet::server_reply virtual_server::stop(const fleet::stop_call& call) {
@@ -248,8 +340,11 @@
     if (!accept_fencing_token(call.fencing_token))
         return reply;
     const run_key key{call.task, call.run};
-    if (runs_.contains(key))
+    const auto it = runs_.find(key);
+    if (it != runs_.end() && stop_time == duration{0})
         end(key, fleet::RUN_STOPPED);
+    else if (it != runs_.end() && !it->second.stops_at)
+        it->second.stops_at = sim_.now + stop_time;
     fenced_up_to_[call.task] = std::max(fenced_up_to_[call.task], call.run);
     reply.status = fleet::server_status::ok;
     reply.reason.clear();
@@ -299,6 +394,22 @@
     ++incarnation_;
 }
 
+void virtual_server::crash_for(duration outage) {
+    crash();
+    sim_.after(outage, [this, incarnation = incarnation_] {
+        if (!up_ && incarnation_ == incarnation)
+            restart();
+    });
+}
+
+void virtual_server::crash_under(const std::vector<std::string>& tasks) {
+    for (const auto& task : tasks)
+        if (++history_.crashes_by_task[task] == max_crashes)
+            history_.start_limits[task] =
+                history_.starts_by_task[task] + max_crashes;
+    crash_for(outage_after_crash);
+}
+
 void virtual_server::restart() {
     crash();
     up_ = true;
--- a/tests/fleet/virtual_server.hpp
+++ b/tests/fleet/virtual_server.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,10 +39,21 @@
     std::map<std::string, int> starts_by_task;
     std::vector<duration> resumed_checkpoints;   // In order of starts.
     std::map<std::string, std::string> payloads; // By job, as submitted.
+    /// By job, for each step: what one of its tasks needs.
+    std::map<std::string, std::vector<fleet::resources>> needs;
+    std::map<std::string, int> crashes_by_task; // Caused by its payload.
+    /// By task, once three servers have crashed under it.
+    std::map<std::string, int> start_limits;
 };
 
+/// What a task needs, or nothing if its job is not known.
+fleet::resources need_of(const run_history& history, const std::string& task);
+
 /// A fake backend server in virtual time. A run with the payload "ms=N" takes
 /// N milliseconds; "fail" fails after 50 ms; "hang" makes no progress.
+/// "crash=N" crashes its server after N milliseconds; with "crash=N index=I"
+/// only the task of that index does, and the others of the job run for two
+/// seconds.
 class virtual_server {
 public:
     virtual_server(simulation& sim, run_history& history, std::string id,
@@ -57,14 +69,23 @@
     void crash();
     /// Starts again under the same id, as a new incarnation.
     void restart();
+    /// Crashes, and starts again after a time.
+    void crash_for(duration outage);
+    bool is_up() const { return up_; }
+
+    /// A reduced capacity is announced at once, and tasks that exceed it are
+    /// violations only once the fleet has had the time to notice.
+    void set_capacity(const fleet::resources& capacity);
+    const fleet::resources& capacity() const { return capacity_; }
 
     call_fault fault = call_fault::none;
     bool fails_all_runs = false;
     bool draining = false;
     duration remaining{0}; // Announced in heartbeats while it drains.
-    fleet::resources capacity{128'000, 262'144, 8};
     int run_time_percent = 100;
     duration restore_time{0}; // Until a run goes on from its checkpoint.
+    /// A stopped run is listed, and holds its resources, for this long.
+    duration stop_time{0};
 
     std::size_t running_count() const { return runs_.size(); }
     std::int64_t highest_fencing_token() const { return fencing_token_; }
@@ -76,6 +97,8 @@
         time_point began{};
         time_point ends{};
         bool fails = false;
+        bool crashes_server = false;
+        std::optional<time_point> stops_at;
         duration initial_progress{0};
     };
     using run_key = std::pair<std::string, int>;
@@ -86,7 +109,13 @@
     fleet::poll_reply poll_runs(const fleet::poll_call& call);
     void extend(std::int64_t deadline_ms);
     void tick();
+    std::optional<fleet::RunEnd> due_end(const run& active) const;
     void end(const run_key& key, fleet::RunEnd how);
+    void crash_under(const std::vector<std::string>& tasks);
+    fleet::resources largest_recent_capacity() const;
+    void check_start(const fleet::start_call& call);
+    void check_capacity(const std::string& task);
+    run begin_run(const fleet::start_call& call);
     std::int64_t clock() const;
     bool accept_fencing_token(std::int64_t token);
 
@@ -104,6 +133,9 @@
     std::map<std::string, int> fenced_up_to_;
     std::vector<fleet::EndedTask> ended_;
     std::uint64_t incarnation_ = 0;
+    fleet::resources capacity_{128'000, 262'144, 8};
+    /// Capacities that were reduced or extended, and until when they applied.
+    std::vector<std::pair<time_point, fleet::resources>> former_capacities_;
 };
 
 } // namespace celerylift::test
