--- a/tests/fleet/virtual_server.cpp
+++ b/tests/fleet/virtual_server.cpp
@@ -183,18 +183,18 @@
                                                       !earlier.acknowledged);
     if (up_) {
         std::vector<std::pair<run_key, fleet::RunEnd>> finished;
-        std::vector<std::string> deadly;
+        bool crashes = false;
         for (const auto& [key, active] : runs_) {
             const auto how = due_end(active);
             if (how == fleet::RUN_DONE && active.crashes_server)
-                deadly.push_back(key.first);
+                crashes = true;
             else if (how)
                 finished.emplace_back(key, *how);
         }
         for (const auto& [key, how] : finished)
             end(key, how);
-        if (!deadly.empty())
-            crash_under(deadly);
+        if (crashes)
+            crash_for(outage_after_crash);
     }
     sim_.after(tick_period, [this] { tick(); });
 }
@@ -281,7 +281,7 @@
                 call.task + " was started after its end was acknowledged");
     const auto limit = history_.start_limits.find(call.task);
     if (limit != history_.start_limits.end() &&
-        history_.starts_by_task[call.task] >= limit->second)
+        history_.starts_by_task[call.task] == limit->second)
         history_.violations.push_back(
             call.task + " was started too often after it crashed servers");
 }
@@ -386,8 +386,13 @@
 }
 
 void virtual_server::crash() {
-    for (const auto& [key, active] : runs_)
+    for (const auto& [key, active] : runs_) {
         history_.running.erase(key.first);
+        if (active.crashes_server &&
+            ++history_.crashes_by_task[key.first] == max_crashes)
+            history_.start_limits[key.first] =
+                history_.starts_by_task[key.first] + max_crashes;
+    }
     runs_.clear();
     ended_.clear();
     up_ = false;
@@ -402,14 +407,6 @@
     });
 }
 
-void virtual_server::crash_under(const std::vector<std::string>& tasks) {
-    for (const auto& task : tasks)
-        if (++history_.crashes_by_task[task] == max_crashes)
-            history_.start_limits[task] =
-                history_.starts_by_task[task] + max_crashes;
-    crash_for(outage_after_crash);
-}
-
 void virtual_server::restart() {
     crash();
     up_ = true;
--- a/tests/fleet/virtual_server.hpp
+++ b/tests/fleet/virtual_server.hpp
@@ -41,8 +41,9 @@
     std::map<std::string, std::string> payloads; // By job, as submitted.
     /// By job, for each step: what one of its tasks needs.
     std::map<std::string, std::vector<fleet::resources>> needs;
-    std::map<std::string, int> crashes_by_task; // Caused by its payload.
-    /// By task, once three servers have crashed under it.
+    /// Of servers that ran a task with a payload that crashes them.
+    std::map<std::string, int> crashes_by_task;
+    /// By such a task, once three servers have crashed under it.
     std::map<std::string, int> start_limits;
 };
 
@@ -111,7 +112,6 @@
     void tick();
     std::optional<fleet::RunEnd> due_end(const run& active) const;
     void end(const run_key& key, fleet::RunEnd how);
-    void crash_under(const std::vector<std::string>& tasks);
     fleet::resources largest_recent_capacity() const;
     void check_start(const fleet::start_call& call);
     void check_capacity(const std::string& task);
