--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -144,6 +144,31 @@
     EXPECT_EQ(fixture.server.starts.size(), 1U);
 }
 
+TEST(single_agent, does_not_exceed_a_capacity_that_has_shrunk) {
+    agent_fixture fixture;
+    auto smaller = fixture.agent.last_heartbeat;
+    ++smaller.sequence;
+    smaller.capacity.accelerators = 1;
+    fleet::on_heartbeat(fixture.agent, smaller);
+    fleet::on_orders(fixture.agent, fixture.orders(false, 2));
+    EXPECT_TRUE(fixture.server.starts.empty());
+}
+
+TEST(single_agent, counts_a_run_that_is_being_stopped) {
+    agent_fixture fixture;
+    fleet::on_orders(fixture.agent, fixture.orders(false, 2));
+    fixture.confirm_start();
+    fixture.server.answer(false, 120, {"j.0.0.0"});
+    auto orders = fixture.orders(false, 2, "j.0.0.1");
+    auto* stop = orders.add_stops();
+    stop->set_task("j.0.0.0");
+    stop->set_run(1);
+    fleet::on_orders(fixture.agent, orders);
+    fixture.server.last_stop({fleet::server_status::ok, 130, ""});
+    fixture.server.answer(false, 140, {"j.0.0.0"});
+    EXPECT_EQ(fixture.server.starts.size(), 1U);
+}
+
 TEST(single_agent, starts_nothing_for_an_owner_that_was_replaced) {
     agent_fixture fixture;
     auto newer = fixture.orders(false);
