Give up tasks that crash one server after the other

What callers saw: jobs with such a task never ended, and jobs beside it were lost again and again; on a small fleet they starved.

Cause: the end of a server counted as a loss that is nobody's fault. A lost run costs no attempt, so a task that ends its server was started for ever, and the next server got it together with new neighbours. The agent knew which starts it had sent to the incarnation that ended, and dropped that. Class of fault: a retry without a bound, for a failure that the retry itself causes.

Change: the agent reports what may have been active on a server that ended without notice, until the owner has that on record. The owner counts a crash once for each run, in the job's record. A task under which a server has crashed is a suspect: it shares servers only with its own job, so that the next crash names the job and hits no other. Two crashes with no other job there, or five in all, end the job as failed. Suspects wait up to 6 s for servers of their own, which are reserved for them, then share again. A run that lasts 60 s clears its task, so that long work isn't given up for crashes with other causes. A host that loses power (its agent forgets with it), a restarted agent, and a server that drains or announces its end count for nothing.

Ruled out: counting crashes as failed attempts: one crash hits all runs of a server, and would cost innocent jobs theirs.

One set-up of the test was made stricter: innocent jobs now run before the crashing one comes.

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -45,6 +45,8 @@
     time_point last_call_at{};
     bool call_open = false;
     bool poll_requested = false; // Since the order was fenced.
+    /// A start was sent that the server has not refused.
+    bool may_have_begun = false;
 };
 
 /// Connects the owner with one backend server. It executes the owner's orders
@@ -65,6 +67,7 @@
     time_point earliest_shutdown_at{};
     std::string incarnation{};
     bool departed = false;
+    bool has_announced_end = false;
     bool stopping = false;
 
     /// A heartbeat of another incarnation than the one followed. It may be late
@@ -101,6 +104,8 @@
     std::map<run_key, std::string> gone{};
     std::map<run_key, resources> run_resources{};
     std::map<run_key, last_progress> progress{};
+    /// Crashes of earlier incarnations that the owner has not recorded yet.
+    std::vector<ServerCrash> crashes{};
 
     bool long_poll_open = false;
     bool short_poll_open = false;
--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -23,12 +23,19 @@
     task_phase phase = task_phase::waiting;
     int run = 0; // Number of the latest run; 0 before the first.
     int failures = 0;
+    /// Backend servers that crashed under runs of the task, and how many of
+    /// them ran only tasks of its job then.
+    int crashes = 0;
+    int sole_crashes = 0;
+    int crashed_run = 0; // The last run whose crash was counted.
     std::string agent;
     std::string incarnation;
     std::string checkpoint;
 
     /// The version of the job that must be stored before the start is ordered.
     std::uint64_t assigned_version = 0;
+    /// The version of the job that holds the last crash counted.
+    std::uint64_t crash_version = 0;
     bool stopping = false;
     bool seen_running = false;
     int completed_run = 0; // The run that succeeded.
--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -36,6 +36,14 @@
     task* task_ref = nullptr;
 };
 
+/// Whose tasks are on a server.
+struct server_occupancy {
+    std::string job; // The only one, or the first of several.
+    bool is_shared = false;
+    /// A task there is suspected of crashing its servers.
+    bool has_suspect = false;
+};
+
 /// The part of a server's capacity that is in use, cached until something on
 /// the server changes.
 struct server_usage {
@@ -43,6 +51,7 @@
     /// False while the server lists a run whose task is not on record.
     bool all_runs_known = false;
     resources in_use;
+    server_occupancy occupancy;
 };
 
 /// The owner's view of a backend server and of the agent that manages it.
@@ -65,6 +74,9 @@
     std::int64_t applied_up_to = 0;
     std::int64_t acknowledged_up_to = 0;
     std::deque<unstored_end> unstored_ends;
+    /// Crashed incarnations that the agent reports, and whose effect on the
+    /// jobs' records is stored.
+    std::vector<std::string> recorded_crashes;
     server_health health;
 };
 
--- a/modules/fleet/include/celerylift/fleet/placement.hpp
+++ b/modules/fleet/include/celerylift/fleet/placement.hpp
@@ -31,6 +31,11 @@
     std::size_t rack_number = 0;
     /// The server is kept free for other work than the current request.
     bool excluded_from_request = false;
+    /// The only job with tasks there, or the first of several.
+    std::string_view job;
+    bool is_shared = false;
+    /// A task there may crash the server: no other job may be placed there.
+    bool has_suspect = false;
 };
 
 /// Servers below this score are used only if no other has free capacity.
@@ -59,6 +64,9 @@
     bool healthy_only = false;
     /// Whether servers on probation may be used.
     bool may_probe = false;
+    std::string_view job;
+    /// The tasks may share a server only with tasks of their own job.
+    bool needs_own_servers = false;
 };
 
 /// The candidate's index for each placed task; empty if none is placed.
@@ -84,6 +92,9 @@
 bool is_eligible(const candidate_server& server,
                  const placement_request& request);
 
+/// Whether the tasks of other jobs on a server allow it to be used now.
+bool admits(const candidate_server& server, const placement_request& request);
+
 /// How many tasks that need `each` fit into `free`.
 std::int64_t slots_in(const resources& free, const resources& each);
 
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -35,9 +35,11 @@
 }
 
 void follow_new_incarnation(agent& self, const server_heartbeat& heartbeat) {
+    record_crash(self);
     apply_heartbeat(self, heartbeat);
     self.incarnation = incarnation_of(heartbeat);
     self.departed = false;
+    self.has_announced_end = false;
     self.incarnation_confirmed = false;
     ++self.incarnation_number;
     self.clock_known = false;
@@ -252,6 +254,7 @@
     if (id != self.last_heartbeat.id)
         return;
     self.departed = true;
+    self.has_announced_end = true;
     self.run.journal.event("server_departed",
                            {{"incarnation", self.incarnation}});
     send_report(self);
@@ -262,6 +265,8 @@
     report.set_failure_domain(self.failure_domain);
     report.set_sent_at_ms(self.run.now().time_since_epoch().count());
     report.set_followed_epoch(self.epoch);
+    for (const auto& crash : self.crashes)
+        *report.add_crashes() = crash;
     // A server is not offered to the owner before its runs are known.
     if (!self.incarnation.empty() && (self.has_run_list || self.departed)) {
         auto* server = report.mutable_server();
--- a/modules/fleet/src/agent_internal.hpp
+++ b/modules/fleet/src/agent_internal.hpp
@@ -25,6 +25,13 @@
 /// about to be sent.
 void record_run_lease(agent& self);
 
+/// Keeps what may have been active on the server that is followed, if it has
+/// ended without notice. Called before the next incarnation is followed.
+void record_crash(agent& self);
+
+/// Removes the crashes that the owner has recorded.
+void forget_recorded_crashes(agent& self, const OwnerOrders& orders);
+
 void update_clock(agent& self, const std::optional<std::int64_t>& clock_ms);
 
 } // namespace celerylift::fleet
--- a/modules/fleet/src/agent_orders.cpp
+++ b/modules/fleet/src/agent_orders.cpp
@@ -97,10 +97,12 @@
         set_phase(self, order, order_phase::started);
     else if (reply.status == server_status::unknown)
         set_phase(self, order, order_phase::uncertain);
-    else
+    else {
+        order.may_have_begun = false;
         // The call had no effect, but an earlier attempt may still arrive.
         fence(self, order,
               fmt::format("the server refused the start: {}", reply.reason));
+    }
     self.poll_requested = true;
     send_due_calls(self);
 }
@@ -112,6 +114,7 @@
     record_run_lease(self);
     set_phase(self, order, order_phase::sent);
     order.call_open = true;
+    order.may_have_begun = true;
     start_call call{
         key.task,  key.run,   order.start.payload(), order.start.checkpoint(),
         *deadline, self.epoch};
@@ -322,6 +325,7 @@
             duration{orders.answered_sent_at_ms() + orders.grant_ms()}};
         self.granted_until = std::max(self.granted_until, granted);
     }
+    forget_recorded_crashes(self, orders);
     if (orders.incarnation() != self.incarnation || self.incarnation.empty())
         return;
     self.has_orders = true;
--- a/modules/fleet/src/jobs.cpp
+++ b/modules/fleet/src/jobs.cpp
@@ -107,6 +107,9 @@
         task->phase = from_record(record.phase());
         task->run = record.run();
         task->failures = record.failures();
+        task->crashes = record.crashes();
+        task->sole_crashes = record.sole_crashes();
+        task->crashed_run = record.crashed_run();
         task->agent = record.agent();
         task->incarnation = record.incarnation();
         task->checkpoint = record.checkpoint();
@@ -132,6 +135,9 @@
                 out->set_phase(to_record(task.phase));
                 out->set_run(task.run);
                 out->set_failures(task.failures);
+                out->set_crashes(task.crashes);
+                out->set_sole_crashes(task.sole_crashes);
+                out->set_crashed_run(task.crashed_run);
                 out->set_checkpoint(task.checkpoint);
                 out->set_avoid_agent(task.avoid_agent);
                 if (task.phase != task_phase::assigned)
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -221,6 +221,7 @@
     server.answered_sent_at_ms = report.sent_at_ms();
     if (!report.server().incarnation().empty())
         self.expected_agents.erase(agent);
+    apply_crashes(self, server, report);
     apply_server_state(self, server, report);
     if (report.server().incarnation() == server.state.incarnation() &&
         !report.server().incarnation().empty()) {
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -6,10 +6,18 @@
 
 namespace {
 
+void add_occupant(server_occupancy& occupancy, const std::string& job,
+                  bool suspect) {
+    if (occupancy.job.empty())
+        occupancy.job = job;
+    occupancy.is_shared = occupancy.is_shared || occupancy.job != job;
+    occupancy.has_suspect = occupancy.has_suspect || suspect;
+}
+
 /// Adds the resources of runs that a server lists but that are not on record as
 /// assigned to it. Returns whether the task of each such run is known.
 bool add_unrecorded_runs(const owner& self, const server& server,
-                         resources& in_use) {
+                         server_usage& usage) {
     for (const auto& running : server.running) {
         const auto name = parse_task_name(running.name().task());
         const auto it = name ? self.jobs.find(name->job) : self.jobs.end();
@@ -18,8 +26,10 @@
             return false;
         const auto assigned = server.assigned.find(*name);
         if (assigned == server.assigned.end() ||
-            assigned->second.task_ref->ended_in_gang)
-            in_use += need_of(step_of(it->second, *name));
+            assigned->second.task_ref->ended_in_gang) {
+            usage.in_use += need_of(step_of(it->second, *name));
+            add_occupant(usage.occupancy, name->job, false);
+        }
     }
     return true;
 }
@@ -30,11 +40,15 @@
     server.usage.stale = false;
     self.run.metrics.count("rooms_refreshed_total");
     server.usage.in_use = {};
+    server.usage.occupancy = {};
     for (const auto& [name, assigned] : server.assigned)
-        if (!assigned.task_ref->ended_in_gang)
+        if (!assigned.task_ref->ended_in_gang) {
             server.usage.in_use += need_of(step_of(*assigned.job_ref, name));
+            add_occupant(server.usage.occupancy, name.job,
+                         is_suspect(*assigned.task_ref));
+        }
     server.usage.all_runs_known =
-        add_unrecorded_runs(self, server, server.usage.in_use);
+        add_unrecorded_runs(self, server, server.usage);
 }
 
 bool is_usable(const server& server, time_point now) {
@@ -80,6 +94,9 @@
         candidate.recently_healthy = is_recently_healthy(server.health, now);
         candidate.last_healthy_at = server.health.last_healthy_at;
         candidate.on_probation = server.health.on_probation;
+        candidate.job = server.usage.occupancy.job;
+        candidate.is_shared = server.usage.occupancy.is_shared;
+        candidate.has_suspect = server.usage.occupancy.has_suspect;
         pass.index.emplace(agent, pass.candidates.size());
         pass.candidates.push_back(candidate);
         pass.servers.push_back(&server);
@@ -104,6 +121,7 @@
            more.max_per_server == less.max_per_server &&
            more.running == less.running &&
            (more.healthy_only || !less.healthy_only) &&
+           !more.needs_own_servers && !less.needs_own_servers &&
            (less.may_probe || !more.may_probe);
 }
 
--- /dev/null
+++ b/modules/fleet/src/owner_crashes.cpp
@@ -0,0 +1,121 @@
+#include "owner_internal.hpp"
+
+#include <celerylift/fleet/names.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace celerylift::fleet {
+
+namespace {
+
+/// Crashes with no other job on the server after which a task is given up.
+constexpr int max_sole_crashes = 2;
+/// Crashes in all after which it is given up. Bounds the crashes of a task that
+/// has to share its servers.
+constexpr int max_crashes = 5;
+
+/// A run that has lasted this long shows that its task does not crash the
+/// servers that start it. Long work meets crashes that have other causes.
+constexpr duration clearing_run_time{60'000};
+
+task* find_task(owner& self, const RunName& run) {
+    const auto name = parse_task_name(run.task());
+    const auto it = name ? self.jobs.find(name->job) : self.jobs.end();
+    return it == self.jobs.end() ? nullptr : find_task(it->second, *name);
+}
+
+/// Whether no more than one job had runs on the server.
+bool hit_one_job(const ServerCrash& crash) {
+    std::set<std::string> jobs;
+    for (const auto& run : crash.active_runs())
+        jobs.insert(run.task().substr(0, run.task().find('.')));
+    return jobs.size() <= 1;
+}
+
+bool is_current(const server& server, const task& task, int run) {
+    return task.phase == task_phase::assigned && !task.ended_in_gang &&
+           task.agent == server.agent && task.run == run;
+}
+
+bool outlived_suspicion(const owner& self, const task& task) {
+    return task.seen_running &&
+           self.run.now() >= task.first_seen_running_at + clearing_run_time;
+}
+
+void count_crash(owner& self, const server& server, job& job, task& task,
+                 const ServerCrash& crash) {
+    if (outlived_suspicion(self, task)) {
+        task.crashes = 0;
+        task.sole_crashes = 0;
+    } else {
+        ++task.crashes;
+        task.sole_crashes += hit_one_job(crash) ? 1 : 0;
+    }
+    task.avoid_agent = server.agent;
+    mark_changed(self, job);
+    task.crash_version = job.version;
+    self.run.journal.event("task_suspected",
+                           {{"task", to_string(task.name)},
+                            {"run", task.crashed_run},
+                            {"agent", server.agent},
+                            {"incarnation", crash.incarnation()},
+                            {"active_runs", crash.active_runs_size()},
+                            {"crashes", task.crashes},
+                            {"sole_crashes", task.sole_crashes}});
+    self.run.metrics.count("server_crashes_counted_total");
+}
+
+void apply_crash(owner& self, server& server, const ServerCrash& crash,
+                 const RunName& run) {
+    auto* task = find_task(self, run);
+    if (!task || run.run() > task->run || is_final(*task))
+        return;
+    auto& job = self.jobs.at(task->name.job);
+    // An agent repeats a crash until it is on record.
+    if (run.run() > task->crashed_run && !is_final(job.state)) {
+        task->crashed_run = run.run();
+        count_crash(self, server, job, *task, crash);
+    }
+    if (is_current(server, *task, run.run()))
+        lose_run(self, *task, "its backend server has crashed");
+    const bool is_given_up =
+        task->sole_crashes >= max_sole_crashes || task->crashes >= max_crashes;
+    if (is_given_up && !is_final(job.state))
+        fail_job(self, job, *task, "servers crash under it");
+}
+
+bool is_recorded(owner& self, const ServerCrash& crash) {
+    return std::ranges::all_of(crash.active_runs(), [&](const auto& run) {
+        const auto* task = find_task(self, run);
+        return !task || self.jobs.at(task->name.job).stored_version >=
+                            task->crash_version;
+    });
+}
+
+} // namespace
+
+void apply_crashes(owner& self, server& server, const AgentReport& report) {
+    server.recorded_crashes.clear();
+    for (const auto& crash : report.crashes()) {
+        for (const auto& run : crash.active_runs())
+            apply_crash(self, server, crash, run);
+        if (is_recorded(self, crash))
+            server.recorded_crashes.push_back(crash.incarnation());
+    }
+}
+
+bool is_suspect(const task& task) {
+    return task.crashes > 0;
+}
+
+void clear_suspect(owner& self, job& job, task& task) {
+    if (!is_suspect(task) || !outlived_suspicion(self, task))
+        return;
+    task.crashes = 0;
+    task.sole_crashes = 0;
+    invalidate_usage(self, task.agent);
+    mark_changed(self, job);
+}
+
+} // namespace celerylift::fleet
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -38,6 +38,22 @@
 void count_failure(owner& self, server& server, job& job, task& task);
 bool has_no_attempts_left(const owner& self, const job& job, const task& task);
 
+/// Applies the reported crashes of a server's earlier incarnations. Counts each
+/// against the tasks whose runs may have been active there, once, and fails
+/// jobs with a task that crashes one server after the other.
+void apply_crashes(owner& self, server& server, const AgentReport& report);
+
+/// Whether a server has crashed under the task, and no run has cleared the task
+/// since. Suspects share a server only with tasks of their own job, so that
+/// another crash tells which job is at fault, and hits no other.
+bool is_suspect(const task& task);
+
+/// Withdraws the suspicion from a task whose run has outlived it.
+void clear_suspect(owner& self, job& job, task& task);
+
+/// Ends a job unsuccessfully, and stops what still runs of it.
+void fail_job(owner& self, job& job, const task& task, const char* why);
+
 /// Whether a task has failed too recently to be started again.
 bool is_pausing(const owner& self, const job& job, const task& task);
 
@@ -163,6 +179,13 @@
                    const std::vector<candidate_server>& candidates,
                    const placement_request& request);
 
+/// Reserves servers that other jobs will leave soonest for suspects, which must
+/// not share a server.
+void reserve_own_servers(owner& self, schedule_pass& pass, const job& job,
+                         const occurrence& occurrence, int step,
+                         const std::vector<candidate_server>& candidates,
+                         const placement_request& request);
+
 /// Subtracts the capacity of a reservation from `candidates`.
 void subtract_reservation(const schedule_pass& pass,
                           const reservation& reservation,
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -121,14 +121,8 @@
         resolve_member(self, job, task, "another member has ended");
     else
         return_to_waiting(self, task);
-    if (!job_failed)
-        return;
-    job.state = JOB_FAILED;
-    job.ended_unix_ms = self.run.unix_ms();
-    self.run.journal.event("job_failed", {{"job", job.submission.id()},
-                                          {"task", to_string(task.name)},
-                                          {"failures", task.failures}});
-    stop_all_runs(self, job, "the job has failed");
+    if (job_failed)
+        fail_job(self, job, task, "it has no attempts left");
 }
 
 std::string name_of(RunEnd how) {
@@ -231,15 +225,15 @@
     auto& job = self.jobs.at(task.name.job);
     const auto server = self.servers.find(task.agent);
     self.run.journal.event(
-        "run_lost", {{"task", to_string(task.name)},
-                     {"run", task.run},
-                     {"agent", task.agent},
-                     {"incarnation", task.incarnation},
-                     {"reported_incarnation",
-                      server == self.servers.end()
-                          ? std::string{}
-                          : server->second.state.incarnation()},
-                     {"why", why}});
+        "run_lost",
+        {{"task", to_string(task.name)},
+         {"run", task.run},
+         {"agent", task.agent},
+         {"incarnation", task.incarnation},
+         {"reported_incarnation", server == self.servers.end()
+                                      ? std::string{}
+                                      : server->second.state.incarnation()},
+         {"why", why}});
     self.run.metrics.count("runs_lost_total");
     if (step_of(job, task.name).gang())
         resolve_member(self, job, task, why);
@@ -293,6 +287,18 @@
     self.run.metrics.count("jobs_completed_total");
 }
 
+void fail_job(owner& self, job& job, const task& task, const char* why) {
+    job.state = JOB_FAILED;
+    job.ended_unix_ms = self.run.unix_ms();
+    mark_changed(self, job);
+    self.run.journal.event("job_failed", {{"job", job.submission.id()},
+                                          {"task", to_string(task.name)},
+                                          {"failures", task.failures},
+                                          {"crashes", task.crashes},
+                                          {"why", why}});
+    stop_all_runs(self, job, "the job has failed");
+}
+
 void on_job_changed(owner& self, const stored_job& stored) {
     if (self.epoch == 0 || !stored.submission)
         return;
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -24,6 +24,9 @@
 /// preemption alone may make urgent work miss its objective.
 constexpr int long_wait_percent = 60;
 
+/// How long a suspect waits for servers of its own before it shares others.
+constexpr duration max_wait_for_own_servers{6000};
+
 void assign(owner& self, job& job, task& task, server& server, int run) {
     task.phase = task_phase::assigned;
     task.run = run;
@@ -57,6 +60,7 @@
                               const occurrence& occurrence, int step) {
     const auto& spec = job.submission.steps(step);
     placement_request request;
+    request.job = job.submission.id();
     request.service = queue_of(self, job)->service;
     request.each = need_of(spec);
     request.required_label = spec.required_label();
@@ -110,6 +114,11 @@
     return self.run.now() - task.waiting_since;
 }
 
+bool needs_own_servers(const owner& self, const task& task) {
+    return is_suspect(task) &&
+           waiting_time(self, task) < max_wait_for_own_servers;
+}
+
 /// Drops the preference for a single rack where no rack could hold the gang or
 /// the gang has waited long enough.
 void relax_rack(const owner& self, const job& job, const waiting_unit& unit,
@@ -193,11 +202,21 @@
         pass.failed_requests.push_back(std::move(attempt));
 }
 
+void add_occupant(candidate_server& candidate, const job& job,
+                  const task& task) {
+    const std::string_view id = job.submission.id();
+    if (candidate.job.empty())
+        candidate.job = id;
+    candidate.is_shared = candidate.is_shared || candidate.job != id;
+    candidate.has_suspect = candidate.has_suspect || is_suspect(task);
+}
+
 /// Assigns a task to a candidate and subtracts its resources from what the rest
 /// of the pass can use. A server on probation gets one task only.
 void assign_candidate(owner& self, schedule_pass& pass, job& job, task& task,
                       std::size_t index, int run) {
     auto& server = *pass.servers[index];
+    add_occupant(pass.candidates[index], job, task);
     pass.candidates[index].free -= need_of(step_of(job, task.name));
     if (pass.candidates[index].on_probation)
         pass.candidates[index].free = {};
@@ -224,6 +243,12 @@
                         const std::vector<candidate_server>& candidates,
                         bool waited_long) {
     const auto& occurrence = job.occurrences[unit.occurrence];
+    if (request.needs_own_servers) {
+        if (!has_reservation(self, unit) && pass.reservation_plans_left > 0)
+            reserve_own_servers(self, pass, job, occurrence, unit.step,
+                                candidates, request);
+        return;
+    }
     if (has_reservation(self, unit) ||
         reclaim(self, pass, job, occurrence, unit.step, request))
         return;
@@ -240,9 +265,12 @@
         occurrence.steps[static_cast<std::size_t>(unit.step)].tasks;
     auto request = request_for(self, job, occurrence, unit.step);
     request.count = static_cast<int>(tasks.size());
-    for (const auto& task : tasks)
+    for (const auto& task : tasks) {
         if (!task.avoid_agent.empty())
             request.avoid.insert(task.avoid_agent);
+        request.needs_own_servers =
+            request.needs_own_servers || needs_own_servers(self, task);
+    }
     request.prefer_recently_healthy = !request.avoid.empty();
     request.last_failed_at = tasks.front().last_failed_at;
     // A single rack is preferred as long as one could hold the gang, degraded
@@ -287,15 +315,15 @@
 }
 
 /// Returns the tasks of a step that can be started. Those that avoid no server
-/// come first.
+/// come first, suspects last.
 std::vector<task*> tasks_to_start(const owner& self, const job& job,
                                   step_run& step) {
     std::vector<task*> waiting;
     for (auto& task : step.tasks)
         if (task.phase == task_phase::waiting && !is_pausing(self, job, task))
             waiting.push_back(&task);
-    std::stable_partition(waiting.begin(), waiting.end(), [](const task* task) {
-        return task->avoid_agent.empty();
+    std::ranges::stable_sort(waiting, {}, [](const task* task) {
+        return std::pair{is_suspect(*task), !task->avoid_agent.empty()};
     });
     return waiting;
 }
@@ -306,8 +334,8 @@
     return avoid.empty() && queue_of(self, job)->max_attempts > 1;
 }
 
-/// Places the tasks from `next` on that avoid the same server. Returns how many
-/// were placed.
+/// Places the tasks from `next` on that avoid the same server and are all
+/// suspects or none. Returns how many were placed.
 std::size_t place_group(owner& self, schedule_pass& pass, job& job,
                         const waiting_unit& unit,
                         const std::vector<task*>& tasks, std::size_t next,
@@ -320,10 +348,14 @@
     request.prefer_recently_healthy = !avoid.empty();
     request.last_failed_at = tasks[next]->last_failed_at;
     request.may_probe = may_probe(self, job, avoid);
+    request.needs_own_servers = needs_own_servers(self, *tasks[next]);
     relax_avoidance(pass.candidates, request);
     const auto group_end = std::find_if(
         tasks.begin() + static_cast<std::ptrdiff_t>(next), tasks.end(),
-        [&](const task* task) { return task->avoid_agent != avoid; });
+        [&](const task* task) {
+            return task->avoid_agent != avoid ||
+                   needs_own_servers(self, *task) != request.needs_own_servers;
+        });
     request.count =
         static_cast<int>(group_end - tasks.begin()) - static_cast<int>(next);
     self.run.metrics.count("placements_tried_total");
@@ -344,7 +376,8 @@
     const auto& first = *tasks.front();
     const bool waited_long = has_waited_long(self, job, unit, first);
     auto request = request_for(self, job, occurrence, unit.step);
-    if (is_known_not_to_fit(self, pass, unit,
+    if (!is_suspect(*tasks.back()) &&
+        is_known_not_to_fit(self, pass, unit,
                             attempt_for(job, waited_long, request)))
         return;
     auto candidates = pass.candidates;
@@ -365,6 +398,7 @@
         record_failed_request(self, pass, unit,
                               attempt_for(job, waited_long, request));
     request.count = static_cast<int>(tasks.size() - placed);
+    request.needs_own_servers = needs_own_servers(self, *tasks[placed]);
     preempt_or_reserve(self, pass, unit, job, request, candidates, waited_long);
 }
 
--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -335,6 +335,7 @@
         if (!task)
             continue;
         apply_progress(self, server, *task, running.percent());
+        clear_suspect(self, self.jobs.at(task->name.job), *task);
         record_checkpoint(self, self.jobs.at(task->name.job), *task,
                           running.checkpoint());
         tasks.push_back(task);
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -191,7 +191,8 @@
             subtract_reservation(pass, reservation, candidates);
     std::vector<server_plan> servers;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (!is_eligible(candidates[i], request))
+        if (!is_eligible(candidates[i], request) ||
+            !admits(candidates[i], request))
             continue;
         candidates[i].free += pass.being_freed[i];
         servers.push_back({candidates[i], pass.preemptible[i]});
--- a/modules/fleet/src/owner_reserve.cpp
+++ b/modules/fleet/src/owner_reserve.cpp
@@ -103,11 +103,43 @@
     return best;
 }
 
-std::size_t reserved_server_count(const owner& self) {
+std::set<std::string> reserved_servers(const owner& self) {
     std::set<std::string> agents;
     for (const auto& reservation : self.reservations)
         agents.insert(reservation.agents.begin(), reservation.agents.end());
-    return agents.size();
+    return agents;
+}
+
+/// Whether this many further servers may be reserved. Otherwise units after
+/// this one wait as well, even if they need less.
+bool may_reserve_servers(const owner& self, schedule_pass& pass,
+                         std::size_t count) {
+    const auto reserved = reserved_servers(self).size();
+    const bool allowed =
+        reserved == 0 || (reserved + count) * servers_per_reserved_server <=
+                             pass.candidates.size();
+    if (!allowed)
+        pass.reservation_plans_left = 0;
+    return allowed;
+}
+
+/// When the tasks of other jobs will have left a server, or nothing where one
+/// of them lasts.
+std::optional<double>
+left_by_others_in_ms(const owner& self, const server& server, const job& job) {
+    double latest = 0;
+    for (const auto& [name, assigned] : server.assigned) {
+        const auto& task = *assigned.task_ref;
+        if (assigned.job_ref == &job || task.ended_in_gang)
+            continue;
+        if (step_of(*assigned.job_ref, name).lasting())
+            return std::nullopt;
+        latest = std::max(
+            latest, task.stopping ? max_stop_time_ms
+                                  : remaining_run_time_ms(
+                                        self, server, *assigned.job_ref, task));
+    }
+    return latest;
 }
 
 } // namespace
@@ -122,14 +154,8 @@
         return;
     const std::set<std::string> agents(plan->agents.begin(),
                                        plan->agents.end());
-    const auto reserved_count = reserved_server_count(self);
-    if (reserved_count > 0 &&
-        (reserved_count + agents.size()) * servers_per_reserved_server >
-            candidates.size()) {
-        // Units after this one wait as well, even if they need less.
-        pass.reservation_plans_left = 0;
+    if (!may_reserve_servers(self, pass, agents.size()))
         return;
-    }
     self.run.journal.event(
         "room_reserved",
         {{"job", job.submission.id()},
@@ -145,4 +171,55 @@
          priority_of(self, job), self.run.now() + ready_in});
 }
 
+void reserve_own_servers(owner& self, schedule_pass& pass, const job& job,
+                         const occurrence& occurrence, int step,
+                         const std::vector<candidate_server>& candidates,
+                         const placement_request& request) {
+    --pass.reservation_plans_left;
+    const auto reserved = reserved_servers(self);
+    std::vector<std::pair<double, std::size_t>> servers; // By time when left.
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto& candidate = candidates[i];
+        if (candidate.excluded_from_request || candidate.has_suspect ||
+            !is_eligible(candidate, request) ||
+            reserved.contains(pass.servers[i]->agent))
+            continue;
+        if (const auto left = left_by_others_in_ms(self, *pass.servers[i], job))
+            servers.emplace_back(*left, i);
+    }
+    std::ranges::sort(servers);
+    reservation plan{job.submission.id(),
+                     occurrence.number,
+                     step,
+                     {},
+                     {},
+                     self.run.now() + reservation_lifetime,
+                     priority_of(self, job),
+                     {}};
+    std::int64_t tasks_left =
+        job.submission.steps(step).gang() ? request.count : 1;
+    for (const auto& [left_in_ms, i] : servers) {
+        if (tasks_left <= 0)
+            break;
+        const auto& capacity = candidates[i].capacity;
+        tasks_left -= slots_in(capacity, request.each);
+        plan.agents.push_back(pass.servers[i]->agent);
+        plan.each.millicores =
+            std::max(plan.each.millicores, capacity.millicores);
+        plan.each.memory_mb = std::max(plan.each.memory_mb, capacity.memory_mb);
+        plan.each.accelerators =
+            std::max(plan.each.accelerators, capacity.accelerators);
+        plan.ready_at =
+            self.run.now() + duration{static_cast<std::int64_t>(left_in_ms)};
+    }
+    if (tasks_left > 0 || !may_reserve_servers(self, pass, plan.agents.size()))
+        return;
+    self.run.journal.event("servers_reserved_for_suspect",
+                           {{"job", job.submission.id()},
+                            {"step", step},
+                            {"servers", plan.agents.size()}});
+    self.run.metrics.count("reservations_total");
+    self.reservations.push_back(std::move(plan));
+}
+
 } // namespace celerylift::fleet
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -27,6 +27,8 @@
 /// How many of the tasks fit on a server now.
 std::int64_t slots_on(const candidate_server& server,
                       const placement_request& request) {
+    if (!admits(server, request))
+        return 0;
     const auto max_tasks = server.on_probation ? 1 : request.count;
     const auto slots =
         std::min<std::int64_t>(slots_in(server.free, request.each), max_tasks);
@@ -148,6 +150,13 @@
                      count_that_fit(free.accelerators, each.accelerators)});
 }
 
+bool admits(const candidate_server& server, const placement_request& request) {
+    const bool has_other_job =
+        server.is_shared || (!server.job.empty() && server.job != request.job);
+    return !has_other_job ||
+           (!server.has_suspect && !request.needs_own_servers);
+}
+
 bool is_eligible(const candidate_server& server,
                  const placement_request& request) {
     if (server.service != request.service ||
--- a/tests/fleet/crashing_tasks_test.cpp
+++ b/tests/fleet/crashing_tasks_test.cpp
@@ -190,7 +190,7 @@
         fleet.submit_async(job, 1, "kwela-key", "/normal/");
         innocent.push_back(job.id());
     }
-    fleet.sim.run_for(duration{500});
+    fleet.sim.run_for(duration{1000});
     std::vector<std::string> crashing;
     for (const int time : GetParam().crash_times) {
         const int n = 100 + static_cast<int>(crashing.size());
