Take no grant that answers a report of an earlier process

What callers could see: two runs of one task.

Cause: a grant ends a fixed time after the report that it answers was sent, on the clock of the agent's host. That clock starts anew with the host. Orders that answered a report from before a loss of power, sent as the new agent connected, granted a lease until the old clock's time, which can be hours ahead: an agent that is cut off then would extend its runs' leases long after the owner had started them elsewhere.

Change: an agent takes a grant only for a report that it can have sent itself, between its own start and now.

Evidence: the test failed before for a report an hour ahead and for one from 4 s before the start.

--- a/modules/fleet/src/agent_orders.cpp
+++ b/modules/fleet/src/agent_orders.cpp
@@ -230,6 +230,12 @@
     }
 }
 
+/// Whether this process has sent a report at `sent_at`. The clock starts anew
+/// with the host, so times of an earlier process can lie in the future.
+bool is_own_time(const agent& self, time_point sent_at) {
+    return sent_at >= self.created_at && sent_at <= self.run.now();
+}
+
 /// Removes the state of runs that the owner's orders no longer name.
 void prune_runs(agent& self, const OwnerOrders& orders) {
     std::set<run_key> named;
@@ -320,11 +326,10 @@
     if (orders.epoch() > self.epoch)
         self.run.journal.event("owner_followed", {{"epoch", orders.epoch()}});
     self.epoch = orders.epoch();
-    if (orders.grant_ms() > 0) {
-        const time_point granted{
-            duration{orders.answered_sent_at_ms() + orders.grant_ms()}};
-        self.granted_until = std::max(self.granted_until, granted);
-    }
+    const time_point answered{duration{orders.answered_sent_at_ms()}};
+    if (orders.grant_ms() > 0 && is_own_time(self, answered))
+        self.granted_until = std::max(self.granted_until,
+                                      answered + duration{orders.grant_ms()});
     forget_recorded_crashes(self, orders);
     if (orders.incarnation() != self.incarnation || self.incarnation.empty())
         return;
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -187,6 +187,19 @@
     EXPECT_TRUE(fixture.server.starts.empty());
 }
 
+// Orders that answered a report from before a loss of power granted a lease of
+// hours: the clock of the host had started anew.
+TEST(single_agent, takes_no_grant_for_a_report_of_an_earlier_process) {
+    agent_fixture fixture;
+    for (const int sent_ago_ms : {-3'600'000, 4000}) {
+        auto orders = fixture.orders(false);
+        orders.set_answered_sent_at_ms(orders.answered_sent_at_ms() -
+                                       sent_ago_ms);
+        fleet::on_orders(fixture.agent, orders);
+        EXPECT_TRUE(fixture.server.starts.empty()) << sent_ago_ms;
+    }
+}
+
 TEST(single_agent, fences_a_start_without_an_answer_before_it_abandons_it) {
     agent_fixture fixture;
     fleet::on_orders(fixture.agent, fixture.orders(false));
