Let suspects share servers after 2.5 s on a mostly idle service

Callers: a job under which a server has crashed could wait 6 s for servers of its own beside free capacity. On a service with under half in use, a task must run again within 3 s.

Change: the wait is 2.5 s while under half of the service's processors or accelerators are in use, and 6 s otherwise. A task that shares may meet a crash that doesn't name it, so a task is given up after four crashes in all, not five: one start that ends without a crash then still fits the bound of five starts.

--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -97,6 +97,9 @@
         candidate.job = server.usage.occupancy.job;
         candidate.is_shared = server.usage.occupancy.is_shared;
         candidate.has_suspect = server.usage.occupancy.has_suspect;
+        auto& service = pass.services[candidate.service];
+        service.total += candidate.capacity;
+        service.free += candidate.free;
         pass.index.emplace(agent, pass.candidates.size());
         pass.candidates.push_back(candidate);
         pass.servers.push_back(&server);
--- a/modules/fleet/src/owner_crashes.cpp
+++ b/modules/fleet/src/owner_crashes.cpp
@@ -13,7 +13,7 @@
 constexpr int max_sole_crashes = 2;
 /// Crashes in all after which it is given up. Bounds the crashes of a task that
 /// has to share its servers.
-constexpr int max_crashes = 5;
+constexpr int max_crashes = 4;
 
 /// A run that has lasted this long shows that its task does not crash the
 /// servers that start it. Long work meets crashes that have other causes.
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -135,6 +135,12 @@
     double lost_core_seconds = 0;
 };
 
+/// The capacity of the usable servers of a service, and how much is free.
+struct service_capacity {
+    resources total;
+    resources free;
+};
+
 /// One pass over the waiting work. Server state is gathered once per pass, so
 /// that the cost grows with the waiting work plus the fleet, and not with their
 /// product.
@@ -142,6 +148,7 @@
     std::vector<candidate_server> candidates;
     std::vector<server*> servers; // By candidate.
     std::unordered_map<std::string_view, std::size_t> index;
+    std::unordered_map<std::string_view, service_capacity> services;
     std::vector<failed_request> failed_requests;
     std::vector<placement_request> failed_reclaims;
     /// By candidate: tasks that urgent work could preempt, cheapest first, and
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -24,8 +24,10 @@
 /// preemption alone may make urgent work miss its objective.
 constexpr int long_wait_percent = 60;
 
-/// How long a suspect waits for servers of its own before it shares others.
+/// How long a suspect waits for servers of its own before it shares others. On
+/// a service that is mostly idle a task must be running again after 3 s.
 constexpr duration max_wait_for_own_servers{6000};
+constexpr duration max_idle_wait_for_own_servers{2500};
 
 void assign(owner& self, job& job, task& task, server& server, int run) {
     task.phase = task_phase::assigned;
@@ -114,9 +116,24 @@
     return self.run.now() - task.waiting_since;
 }
 
-bool needs_own_servers(const owner& self, const task& task) {
-    return is_suspect(task) &&
-           waiting_time(self, task) < max_wait_for_own_servers;
+/// Whether under half of a service's processors or accelerators are in use.
+bool is_mostly_idle(const schedule_pass& pass, const std::string& service) {
+    const auto it = pass.services.find(service);
+    if (it == pass.services.end())
+        return true;
+    const auto& [total, free] = it->second;
+    return free.millicores * 2 > total.millicores ||
+           free.accelerators * 2 > total.accelerators;
+}
+
+bool needs_own_servers(const owner& self, const schedule_pass& pass,
+                       const job& job, const task& task) {
+    if (!is_suspect(task))
+        return false;
+    const auto limit = is_mostly_idle(pass, queue_of(self, job)->service)
+                           ? max_idle_wait_for_own_servers
+                           : max_wait_for_own_servers;
+    return waiting_time(self, task) < limit;
 }
 
 /// Drops the preference for a single rack where no rack could hold the gang or
@@ -268,8 +285,8 @@
     for (const auto& task : tasks) {
         if (!task.avoid_agent.empty())
             request.avoid.insert(task.avoid_agent);
-        request.needs_own_servers =
-            request.needs_own_servers || needs_own_servers(self, task);
+        request.needs_own_servers = request.needs_own_servers ||
+                                    needs_own_servers(self, pass, job, task);
     }
     request.prefer_recently_healthy = !request.avoid.empty();
     request.last_failed_at = tasks.front().last_failed_at;
@@ -348,14 +365,16 @@
     request.prefer_recently_healthy = !avoid.empty();
     request.last_failed_at = tasks[next]->last_failed_at;
     request.may_probe = may_probe(self, job, avoid);
-    request.needs_own_servers = needs_own_servers(self, *tasks[next]);
+    request.needs_own_servers =
+        needs_own_servers(self, pass, job, *tasks[next]);
     relax_avoidance(pass.candidates, request);
-    const auto group_end = std::find_if(
-        tasks.begin() + static_cast<std::ptrdiff_t>(next), tasks.end(),
-        [&](const task* task) {
-            return task->avoid_agent != avoid ||
-                   needs_own_servers(self, *task) != request.needs_own_servers;
-        });
+    const auto group_end =
+        std::find_if(tasks.begin() + static_cast<std::ptrdiff_t>(next),
+                     tasks.end(), [&](const task* task) {
+                         return task->avoid_agent != avoid ||
+                                needs_own_servers(self, pass, job, *task) !=
+                                    request.needs_own_servers;
+                     });
     request.count =
         static_cast<int>(group_end - tasks.begin()) - static_cast<int>(next);
     self.run.metrics.count("placements_tried_total");
@@ -398,7 +417,8 @@
         record_failed_request(self, pass, unit,
                               attempt_for(job, waited_long, request));
     request.count = static_cast<int>(tasks.size() - placed);
-    request.needs_own_servers = needs_own_servers(self, *tasks[placed]);
+    request.needs_own_servers =
+        needs_own_servers(self, pass, job, *tasks[placed]);
     preempt_or_reserve(self, pass, unit, job, request, candidates, waited_long);
 }
 
