Stop the newer run of a task that an earlier run has completed

Cause: an agent that was cut off reports that a run has succeeded which the owner had given up. The owner dropped the task's newer run, of which it knew nothing yet, and gave its room away. Nothing but the memory of that run's agent still counted it. If that agent restarts, the start that is carried out late finds the room taken.

Change: the newer run stays assigned until it has been stopped, and holds its room; the record says which run succeeded. The job is completed and dependent steps start at once, as before.

The new test failed before ('exceeds the capacity of server-2').

--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -38,7 +38,9 @@
     std::uint64_t crash_version = 0;
     bool stopping = false;
     bool seen_running = false;
-    int completed_run = 0; // The run that succeeded.
+    /// The run that succeeded. A later run may still be assigned until it has
+    /// been stopped.
+    int completed_run = 0;
     /// This owner has started the run, without a checkpoint.
     bool started_from_scratch = false;
     /// This owner has started the run from a checkpoint, and no progress has
@@ -111,6 +113,7 @@
 
 bool is_final(JobState state);
 bool is_final(const task& task);
+bool has_succeeded(const task& task);
 bool is_done(const step_run& step);
 
 /// Whether all steps that a step depends on are done.
--- a/modules/fleet/src/jobs.cpp
+++ b/modules/fleet/src/jobs.cpp
@@ -112,6 +112,9 @@
         task->crashed_run = record.crashed_run();
         task->agent = record.agent();
         task->incarnation = record.incarnation();
+        task->completed_run = record.completed_run();
+        task->stopping =
+            task->phase == task_phase::assigned && has_succeeded(*task);
         task->checkpoint = record.checkpoint();
         task->avoid_agent = record.avoid_agent();
         task->assigned_at = now;
@@ -138,6 +141,7 @@
                 out->set_crashes(task.crashes);
                 out->set_sole_crashes(task.sole_crashes);
                 out->set_crashed_run(task.crashed_run);
+                out->set_completed_run(task.completed_run);
                 out->set_checkpoint(task.checkpoint);
                 out->set_avoid_agent(task.avoid_agent);
                 if (task.phase != task_phase::assigned)
@@ -154,12 +158,16 @@
 }
 
 bool is_final(const task& task) {
-    return task.phase == task_phase::done || task.phase == task_phase::failed;
+    return has_succeeded(task) || task.phase == task_phase::failed;
+}
+
+bool has_succeeded(const task& task) {
+    return task.phase == task_phase::done || task.completed_run != 0;
 }
 
 bool is_done(const step_run& step) {
-    return std::ranges::all_of(
-        step.tasks, [](const task& t) { return t.phase == task_phase::done; });
+    return std::ranges::all_of(step.tasks,
+                               [](const task& t) { return has_succeeded(t); });
 }
 
 bool is_ready(const job& job, const occurrence& occurrence, int step) {
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -32,9 +32,11 @@
     task.percent = 0;
 }
 
+/// Handles the end of a run that leaves its task to run again, unless an
+/// earlier run has succeeded.
 void return_to_waiting(owner& self, task& task) {
     unassign(self, task);
-    task.phase = task_phase::waiting;
+    task.phase = has_succeeded(task) ? task_phase::done : task_phase::waiting;
     task.ended_in_gang = false;
     task.waiting_since = self.run.now();
     self.waiting_jobs.insert(task.name.job);
@@ -91,11 +93,16 @@
     step.total_run_time += ran;
 }
 
-void mark_done(owner& self, task& task, int run) {
-    unassign(self, task);
-    task.phase = task_phase::done;
+/// A later run than the one that succeeded keeps its server's capacity until it
+/// has been stopped: its start may still take effect.
+void mark_done(owner& self, job& job, task& task, int run) {
     task.completed_run = run;
     self.waiting_jobs.insert(task.name.job); // Dependent steps may be ready.
+    if (task.phase == task_phase::assigned && task.run != run &&
+        !task.ended_in_gang)
+        return stop_run(self, job, task, "an earlier run has succeeded");
+    unassign(self, task);
+    task.phase = task_phase::done;
 }
 
 void handle_success(owner& self, server& server, job& job, task& task,
@@ -105,18 +112,18 @@
     if (step_of(job, task.name).lasting())
         return return_to_waiting(self, task);
     if (!step_of(job, task.name).gang())
-        return mark_done(self, task, run);
+        return mark_done(self, job, task, run);
     // All members of a gang are done when one is.
     for (auto& member : step_run_of(job, task.name).tasks)
-        mark_done(self, member, run);
+        mark_done(self, job, member, run);
 }
 
 void handle_unsuccessful_end(owner& self, server& server, job& job, task& task,
                              RunEnd how) {
-    if (how == RUN_FAILED)
+    const bool failed = how == RUN_FAILED && !has_succeeded(task);
+    if (failed)
         count_failure(self, server, job, task);
-    const bool job_failed =
-        how == RUN_FAILED && has_no_attempts_left(self, job, task);
+    const bool job_failed = failed && has_no_attempts_left(self, job, task);
     if (step_of(job, task.name).gang())
         resolve_member(self, job, task, "another member has ended");
     else
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -195,8 +195,8 @@
                                 task->run == running.name().run() &&
                                 !task->ended_in_gang;
         // The members of a gang that is done end one after the other.
-        const bool is_ending = task && task->phase == task_phase::done &&
-                               task->completed_run == running.name().run();
+        const bool is_ending =
+            task && task->completed_run == running.name().run();
         if (!is_current && !is_ending)
             add_stop(running.name().task(), running.name().run(), orders);
     }
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -746,6 +746,38 @@
     expect_no_violations(fleet);
 }
 
+// The newer run was dropped without a stop. Its start, carried out late, found
+// its room given to another task.
+TEST(agent, that_reconnects_with_a_completed_run_has_the_newer_run_stopped) {
+    virtual_fleet fleet{{3, 2, 2}};
+    fleet.submit(make_job(job_id(1), "ms=2000", 1, whole_server));
+    fleet.sim.run_until([&] { return fleet.history.starts == 1; },
+                        duration{1000});
+    const int cut_off = fleet.server(1).running_count() > 0 ? 1 : 2;
+    const int other = 3 - cut_off;
+    for (int entry = 1; entry <= 3; ++entry)
+        fleet.set_link(entry, cut_off, false);
+    ASSERT_TRUE(fleet.sim.run_until(
+        [&] {
+            const auto& servers =
+                fleet.entry(fleet.owner_entry()).owner_state().servers;
+            return !servers.at(fmt::format("agent-{}", other)).assigned.empty();
+        },
+        duration{10'000}));
+    fleet.server(other).fault = call_fault::delayed;
+    fleet.sim.run_for(duration{100});
+    for (int entry = 1; entry <= 3; ++entry)
+        fleet.set_link(entry, cut_off, true);
+    EXPECT_TRUE(
+        fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED, duration{1500}));
+    fleet.server(other).fault = call_fault::none;
+    fleet.kill_agent(other);
+    fleet.start_agent(other);
+    fleet.submit(make_job(job_id(2), "ms=4000", 2, whole_server));
+    EXPECT_TRUE(fleet.wait_for_state(job_id(2), fleet::JOB_COMPLETED));
+    expect_no_violations(fleet);
+}
+
 TEST(agent, that_is_cut_off_briefly_keeps_its_runs) {
     virtual_fleet fleet;
     fleet.submit(make_job(job_id(1), "ms=6000", 1, whole_server));
