Open a suspect's server to other jobs after ten seconds

What callers could see: work that waits beside idle servers (LOST). Not reported; found by the review: twelve small innocent suspects on an idle fleet of six servers kept all of them closed, and an urgent job waited 27 s, another over 60 s.

Change: a suspect closes its server for the first 10 s of its run; a task that ends its servers does so soon after its start. Lasting suspects wait 2.5 s for servers of their own, and lasting work is given up after three crashes with no other job there, not two: it meets crashes with other causes as long as it runs.

Tried and taken back (trials): closing at most a third or a half of the servers, with waits of 2.5 s and 6 s, and letting other work join suspects after a wait of 0.5 s or 2 s.

--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -45,7 +45,7 @@
         if (!assigned.task_ref->ended_in_gang) {
             server.usage.in_use += need_of(step_of(*assigned.job_ref, name));
             add_occupant(server.usage.occupancy, name.job,
-                         is_suspect(*assigned.task_ref));
+                         closes_server(self, *assigned.task_ref));
         }
     server.usage.all_runs_known =
         add_unrecorded_runs(self, server, server.usage);
--- a/modules/fleet/src/owner_crashes.cpp
+++ b/modules/fleet/src/owner_crashes.cpp
@@ -11,6 +11,8 @@
 
 /// Crashes with no other job on the server after which a task is given up.
 constexpr int max_sole_crashes = 2;
+/// Lasting work meets crashes with other causes as long as it runs.
+constexpr int max_sole_crashes_of_lasting_work = 3;
 /// Crashes in all after which it is given up. Bounds the crashes of a task that
 /// has to share its servers.
 constexpr int max_crashes = 4;
@@ -19,6 +21,10 @@
 /// servers that start it. Long work meets crashes that have other causes.
 constexpr duration clearing_run_time{60'000};
 
+/// A suspect keeps other jobs off its server for this long. A task that crashes
+/// its servers does so soon after its start.
+constexpr duration closing_time{10'000};
+
 task* find_task(owner& self, const RunName& run) {
     const auto name = parse_task_name(run.task());
     const auto it = name ? self.jobs.find(name->job) : self.jobs.end();
@@ -82,8 +88,11 @@
     }
     if (has_lost_run(server, *task, crash, run.run()))
         lose_run(self, *task, "its backend server has crashed");
+    const int max_sole = step_of(job, task->name).lasting()
+                             ? max_sole_crashes_of_lasting_work
+                             : max_sole_crashes;
     const bool is_given_up =
-        task->sole_crashes >= max_sole_crashes || task->crashes >= max_crashes;
+        task->sole_crashes >= max_sole || task->crashes >= max_crashes;
     if (is_given_up && !is_final(job.state))
         fail_job(self, job, *task, "servers crash under it");
 }
@@ -112,6 +121,12 @@
     return task.crashes > 0;
 }
 
+bool closes_server(const owner& self, const task& task) {
+    return is_suspect(task) &&
+           (!task.seen_running ||
+            self.run.now() < task.first_seen_running_at + closing_time);
+}
+
 void clear_suspect(owner& self, job& job, task& task) {
     if (!is_suspect(task) || !outlived_suspicion(self, task))
         return;
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -48,6 +48,9 @@
 /// another crash tells which job is at fault, and hits no other.
 bool is_suspect(const task& task);
 
+/// Whether an assigned suspect keeps other jobs off its server now.
+bool closes_server(const owner& self, const task& task);
+
 /// Withdraws the suspicion from a task whose run has outlived it.
 void clear_suspect(owner& self, job& job, task& task);
 
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -25,9 +25,10 @@
 constexpr int long_wait_percent = 60;
 
 /// How long a suspect waits for servers of its own before it shares others. On
-/// a service that is mostly idle a task must be running again after 3 s.
+/// a service that is mostly idle a task must be running again after 3 s, and
+/// lasting work on any.
 constexpr duration max_wait_for_own_servers{6000};
-constexpr duration max_idle_wait_for_own_servers{2500};
+constexpr duration max_short_wait_for_own_servers{2500};
 
 void assign(owner& self, job& job, task& task, server& server, int run) {
     task.phase = task_phase::assigned;
@@ -130,10 +131,10 @@
                        const job& job, const task& task) {
     if (!is_suspect(task))
         return false;
-    const auto limit = is_mostly_idle(pass, queue_of(self, job)->service)
-                           ? max_idle_wait_for_own_servers
-                           : max_wait_for_own_servers;
-    return waiting_time(self, task) < limit;
+    const bool is_short = step_of(job, task.name).lasting() ||
+                          is_mostly_idle(pass, queue_of(self, job)->service);
+    return waiting_time(self, task) < (is_short ? max_short_wait_for_own_servers
+                                                : max_wait_for_own_servers);
 }
 
 /// Drops the preference for a single rack where no rack could hold the gang or
