Report a request under which its server ends as unknown

Callers could also be told that a job had not run although its write was done.

Cause: when a connection that it has reused ends without a response, the HTTP library connects again by itself. If that fails, as after a crash, it reports that it could not connect, and the call was taken for never sent. The agent then counted a start as without effect, and the crash as one with nothing active: active_runs 0 for runs 3 and 5 of the task, start_answered with status 1 within 14 ms of start_sent.

Change: a call counts as not sent only if no byte of a request was sent.

--- a/modules/net/src/http_client.cpp
+++ b/modules/net/src/http_client.cpp
@@ -17,6 +17,14 @@
 constexpr long connect_timeout_ms = 700;
 constexpr long max_idle_connections = 16;
 
+/// Whether any part of the request was sent. The library connects again by
+/// itself when a connection that it has reused ends without a response.
+bool has_sent_bytes(CURL* easy) {
+    long size = 0;
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &size);
+    return size > 0;
+}
+
 std::size_t append_body(char* data, std::size_t size, std::size_t count,
                         void* out) {
     static_cast<std::string*>(out)->append(data, size * count);
@@ -195,7 +203,7 @@
         call->response.status = static_cast<int>(status);
         if (code == CURLE_OK)
             call->response.result = call_result::answered;
-        else if (code == CURLE_COULDNT_CONNECT)
+        else if (code == CURLE_COULDNT_CONNECT && !has_sent_bytes(easy))
             call->response.result = call_result::not_sent;
         curl_multi_remove_handle(handle_, easy);
         curl_easy_cleanup(easy);
--- a/modules/platform/src/http_client.cpp
+++ b/modules/platform/src/http_client.cpp
@@ -87,9 +87,13 @@
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     response.status = static_cast<int>(status);
+    // The library connects again by itself when a connection that it has reused
+    // ends without a response.
+    long sent_bytes = 0;
+    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
     if (code == CURLE_OK)
         response.result = http_result::answered;
-    else if (code == CURLE_COULDNT_CONNECT)
+    else if (code == CURLE_COULDNT_CONNECT && sent_bytes == 0)
         response.result = http_result::not_sent;
     return response;
 }
--- a/tests/fleet/http_client_test.cpp
+++ b/tests/fleet/http_client_test.cpp
@@ -16,10 +16,13 @@
 namespace {
 
 /// Answers the first request, closes the connection on the second one without a
-/// response, and answers any other with status 503.
+/// response, and answers any other with status 503. Where `ends_on_second` is
+/// set, it accepts no connection from the second request on.
 class closing_server {
 public:
-    closing_server() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    explicit closing_server(bool ends_on_second = false)
+        : ends_on_second_(ends_on_second),
+          listener_(socket(AF_INET, SOCK_STREAM, 0)) {
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -68,6 +71,8 @@
 
     bool answer(int connection) {
         const int number = ++requests_;
+        if (number == 2 && ends_on_second_)
+            shutdown(listener_, SHUT_RDWR);
         if (number == 2)
             return false;
         const std::string text =
@@ -76,6 +81,7 @@
         return send(connection, text.data(), text.size(), MSG_NOSIGNAL) > 0;
     }
 
+    bool ends_on_second_;
     int listener_;
     std::uint16_t port_ = 0;
     std::atomic<int> requests_ = 0;
@@ -113,4 +119,17 @@
     EXPECT_EQ(server.requests(), 2);
 }
 
+// A server crashed under a request. The client library connected again in vain,
+// and the caller was told that the request had never been sent.
+TEST(http_client, reports_a_request_under_which_its_server_ends_as_unknown) {
+    closing_server server(true);
+    net::control_loop loop;
+    net::http_client client(loop);
+    EXPECT_EQ(call(loop, client, server.at()).status, 200);
+    EXPECT_EQ(call(loop, client, server.at()).result,
+              net::call_result::unknown);
+    EXPECT_EQ(call(loop, client, server.at()).result,
+              net::call_result::not_sent);
+}
+
 } // namespace celerylift::test
