Log how many writes a call has sent, and how many were not answered

Two causes of a job that was rejected and runs could not be told apart in the logs: a rejection whose writes were all refused, and one beside a write without an answer. call_answered has both counts now, for cancellations too. The rule itself is as before: a submission with an unanswered write is unknown.

--- a/modules/fleet/src/job_api.cpp
+++ b/modules/fleet/src/job_api.cpp
@@ -69,9 +69,10 @@
     caller from;
     std::string id;
     answer_callback done;
-    /// An unanswered write may have taken effect, or may still do so.
-    bool write_may_take_effect = false;
     time_point started_at{};
+    int writes = 0;
+    /// Each may have taken effect, or may still do so.
+    int unanswered_writes = 0;
 
     /// Until when another attempt can still be answered in time.
     time_point retry_by() const {
@@ -89,7 +90,7 @@
 call_ptr begin(job_api& api, const caller& from, const std::string& id,
                answer_callback done) {
     return std::make_shared<pending_call>(
-        pending_call{api, from, id, std::move(done), false, api.run.now()});
+        pending_call{api, from, id, std::move(done), api.run.now()});
 }
 
 void finish(const call_ptr& call, const char* verb, const answer& reply) {
@@ -101,6 +102,8 @@
          {"answer", static_cast<int>(reply.kind)},
          {"message", reply.message},
          {"took_ms", took_ms},
+         {"writes", call->writes},
+         {"unanswered_writes", call->unanswered_writes},
          {"config", call->api.config ? call->api.config->version : 0}});
     call->api.run.metrics.observe(fmt::format("{}_ms", verb),
                                   static_cast<double>(took_ms));
@@ -133,7 +136,7 @@
 void store_submission(const call_ptr& call, const Submission& job);
 
 void give_up_submission(const call_ptr& call) {
-    if (call->write_may_take_effect)
+    if (call->unanswered_writes > 0)
         return finish(
             call, "hand_in",
             make_answer(answer_kind::outcome_unknown,
@@ -164,8 +167,7 @@
             call->api.observe(item);
         return finish(call, "hand_in", make_answer(answer_kind::accepted, ""));
     }
-    call->write_may_take_effect =
-        call->write_may_take_effect || reply.status == store_status::unknown;
+    call->unanswered_writes += reply.status == store_status::unknown ? 1 : 0;
     if (call->has_time())
         return retry_later(call, [call, job] { store_submission(call, job); });
     give_up_submission(call);
@@ -185,6 +187,7 @@
     store_transaction write;
     write.expected.push_back({key, 0});
     write.puts.push_back({key, job.SerializeAsString(), 0});
+    ++call->writes;
     call->api.records.transact(write, call->timeout(),
                                [call, job](const transaction_reply& reply) {
                                    handle_submission_reply(call, job, reply);
@@ -221,6 +224,7 @@
     store_transaction write;
     write.puts.push_back(
         {job_key(call->id, job_part::cancellation), "cancelled", 0});
+    ++call->writes;
     call->api.records.transact(
         write, call->timeout(), [call](const transaction_reply& reply) {
             if (reply.status == store_status::ok) {
@@ -229,6 +233,8 @@
                 return finish(call, "cancel",
                               make_answer(answer_kind::accepted, ""));
             }
+            call->unanswered_writes +=
+                reply.status == store_status::unknown ? 1 : 0;
             if (call->has_time())
                 return retry_later(call, [call] { store_cancellation(call); });
             finish(call, "cancel",
