Reject no request at the stop of an entry that may have taken effect

What callers saw: jobs ran although each try had been answered with 503, "the process is stopping" (REFUSED).

Cause: an entry that is told to stop ends after 5.2 s at the latest, and its HTTP server answered all requests that were open then with 503, also a submission whose write had been sent. Callers that go on using their connection to a stopping entry hand jobs in until it ends, and each of these waits for the store as long as its caller does. Class of fault: a missing answer is taken for none.

The job API had no test of a stopping entry; its three new ones cover calls that were open before, that arrive late, and a store whose replies are lost or late.

Change: a request that the handler has received is answered with 504 when the server ends, and is logged as request_interrupted. A submission that comes too late for that is rejected before anything is written.

--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -40,9 +40,9 @@
 
     void start();
 
-    /// Releases the cell at once, and is no longer ready; callers are still
-    /// served.
-    void stop();
+    /// Releases the cell at once, and is no longer ready. Callers are still
+    /// served; all are answered before `ends_at`.
+    void stop(time_point ends_at);
 
     /// Handles a message of an agent or of another entry.
     void on_message(const std::string& from, const FleetEnvelope& envelope);
--- a/modules/fleet/include/celerylift/fleet/job_api.hpp
+++ b/modules/fleet/include/celerylift/fleet/job_api.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -71,6 +72,8 @@
     std::function<store_outage()> outage;
     /// Spreads the return of rejected callers.
     std::minstd_rand random{};
+    /// When the process ends, if it is stopping. All calls are answered before.
+    std::optional<time_point> ends_at{};
 };
 
 /// `job` needs its id, payload and steps; queue, organisation and time of
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -123,8 +123,9 @@
                       [this](time_point) { read_config(); });
 }
 
-void entry_node::stop() {
+void entry_node::stop(time_point ends_at) {
     stopping_ = true;
+    job_api_.ends_at = ends_at;
     leadership_.stop([] {});
     gained_epoch_ = 0;
     deactivate(owner_);
--- a/modules/fleet/src/job_api.cpp
+++ b/modules/fleet/src/job_api.cpp
@@ -74,13 +74,16 @@
     /// Each may have taken effect, or may still do so.
     int unanswered_writes = 0;
 
-    /// Until when another attempt can still be answered in time.
-    time_point retry_by() const {
-        return from.deadline - answer_reserve - store_retry_period;
+    /// Until when the call is to be answered.
+    time_point answer_by() const {
+        return std::min(from.deadline, api.ends_at.value_or(from.deadline)) -
+               answer_reserve;
     }
+    /// Until when another attempt can still be answered in time.
+    time_point retry_by() const { return answer_by() - store_retry_period; }
     bool has_time() const { return api.run.now() < retry_by(); }
     duration timeout() const {
-        const auto remaining = from.deadline - answer_reserve - api.run.now();
+        const auto remaining = answer_by() - api.run.now();
         return std::max(duration{50}, std::min(store_timeout, remaining));
     }
 };
@@ -306,6 +309,10 @@
                         duration{60'000}));
     if (shown_state(*api.jobs, call->id))
         return finish(call, "hand_in", make_answer(answer_kind::accepted, ""));
+    if (api.ends_at && !call->has_time())
+        return finish(call, "hand_in",
+                      make_answer(answer_kind::not_run,
+                                  "this entry is stopping; use another entry"));
     auto complete = *decoded;
     complete.set_queue(admitted.queue.name);
     complete.set_organisation(admitted.organisation);
--- a/modules/host/src/fleet_entry.cpp
+++ b/modules/host/src/fleet_entry.cpp
@@ -76,6 +76,8 @@
     context_.loop.on_reload(
         [this] { context_.journal.event("settings_reloaded", {}); });
     context_.loop.run();
+    for (const auto& request : callers_->stop())
+        context_.journal.event("request_interrupted", {{"request", request}});
     context_.journal.event("ended", {});
     callers_.reset();
     readiness_.reset();
@@ -102,7 +104,7 @@
     stopping_ = true;
     context_.journal.event("stopping", {{"owner", node_.is_owner()}});
     callers_->close_after_responses();
-    node_.stop();
+    node_.stop(context_.run.now() + max_drain_time);
     end_at_ = context_.run.now() + drain_time;
     context_.timers.every(context_.run.now(), drain_check_period,
                           [this](time_point) { end_when_idle(); });
--- a/modules/net/include/celerylift/net/async_http_server.hpp
+++ b/modules/net/include/celerylift/net/async_http_server.hpp
@@ -5,6 +5,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace celerylift::net {
 
@@ -36,6 +38,11 @@
     async_http_server(const async_http_server&) = delete;
     async_http_server& operator=(const async_http_server&) = delete;
 
+    /// Ends the server. A request that the handler has not received is rejected
+    /// with status 503; one that it has received and not answered gets 504,
+    /// because it may have taken effect. Returns method and path of the latter.
+    std::vector<std::string> stop();
+
     /// Makes each later response close its connection.
     void close_after_responses();
 
--- a/modules/net/src/async_http_server.cpp
+++ b/modules/net/src/async_http_server.cpp
@@ -18,10 +18,12 @@
 
 /// One request from its first line until its response has been sent.
 struct open_request {
+    std::string target; // Method and path.
     served_request request;
     served_response response;
     bool too_large = false;
     bool dispatched = false;
+    bool handled = false; // The handler has it and may have acted on it.
     bool answered = false;
 };
 
@@ -29,6 +31,13 @@
     return {503, "the process is stopping; retry with another entry\n", {}};
 }
 
+served_response interrupted_response() {
+    return {504,
+            "the process ended before the outcome was known; send the same "
+            "request to another entry\n",
+            {}};
+}
+
 MHD_Result add_query_parameter(void* out, MHD_ValueKind, const char* key,
                                const char* value) {
     static_cast<served_request*>(out)->query[key] = value ? value : "";
@@ -128,6 +137,7 @@
             const std::lock_guard lock(mutex);
             if (!suspended.contains({connection, request}))
                 return;
+            request->handled = true;
             received = std::move(request->request);
         }
         handle(std::move(received),
@@ -146,6 +156,7 @@
     auto* open = static_cast<open_request*>(*state);
     if (!open) {
         open = new open_request;
+        open->target = fmt::format("{} {}", method, url);
         open->request.method = method;
         open->request.path = url;
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
@@ -204,21 +215,32 @@
 }
 
 async_http_server::~async_http_server() {
+    stop();
+}
+
+std::vector<std::string> async_http_server::stop() {
+    std::vector<std::string> interrupted;
     MHD_Daemon* daemon = nullptr;
     {
         const std::lock_guard lock(shared_->mutex);
         shared_->stopping = true;
         daemon = std::exchange(shared_->daemon, nullptr);
         for (const auto& [connection, open] : shared_->suspended) {
-            open->response = stopping_response();
+            open->response =
+                open->handled ? interrupted_response() : stopping_response();
             open->answered = true;
+            if (open->handled)
+                interrupted.push_back(open->target);
             MHD_resume_connection(connection);
         }
         shared_->suspended.clear();
     }
+    if (!daemon)
+        return {};
     MHD_stop_daemon(daemon);
     // Work that is still posted on the loop refers to the shared state.
     shared_->loop.post([state = shared_] {});
+    return interrupted;
 }
 
 void async_http_server::close_after_responses() {
--- a/tests/fleet/fleet_scenario.cpp
+++ b/tests/fleet/fleet_scenario.cpp
@@ -75,7 +75,8 @@
         {"owner_stopped",
          [](virtual_fleet& fleet) {
              if (fleet.has_entry(owner_or_first(fleet)))
-                 fleet.entry(owner_or_first(fleet)).stop();
+                 fleet.entry(owner_or_first(fleet))
+                     .stop(fleet.sim.now + duration{5200});
          },
          [](virtual_fleet& fleet) {
              for (int n = 1; n <= entry_count; ++n)
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -18,6 +18,8 @@
 
 constexpr fleet::resources small{8'000, 16'000, 1};
 constexpr fleet::resources whole_server{64'000, 100'000, 8};
+/// How long a stopping entry serves its callers.
+constexpr duration time_to_end{5200};
 
 std::string job_id(int n) {
     return fmt::format("{:016x}", n);
@@ -283,7 +285,7 @@
     virtual_fleet fleet;
     const int old_owner = fleet.owner_entry();
     const auto before = fleet.sim.now;
-    fleet.entry(old_owner).stop();
+    fleet.entry(old_owner).stop(fleet.sim.now + time_to_end);
     ASSERT_TRUE(fleet.sim.run_until(
         [&] {
             return fleet.owner_entry() != 0 && fleet.owner_entry() != old_owner;
@@ -297,7 +299,7 @@
 TEST(owner, that_has_stopped_does_not_take_over_again) {
     virtual_fleet fleet;
     const int old_owner = fleet.owner_entry();
-    fleet.entry(old_owner).stop();
+    fleet.entry(old_owner).stop(fleet.sim.now + time_to_end);
     for (int n = 0; n < 20; ++n) {
         fleet.submit(make_job(job_id(n), "ms=50", 1, small), old_owner);
         fleet.sim.run_for(duration{100});
--- a/tests/fleet/http_server_test.cpp
+++ b/tests/fleet/http_server_test.cpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 namespace celerylift::test {
 
@@ -54,6 +55,18 @@
     send(connection, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
+/// Reads what arrives until the server closes the connection.
+std::string read_all(int connection) {
+    std::string text;
+    std::array<char, 4096> buffer{};
+    for (;;) {
+        const auto size = recv(connection, buffer.data(), buffer.size(), 0);
+        if (size <= 0)
+            return text;
+        text.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+}
+
 } // namespace
 
 // A request that the I/O thread reads after the server has released all open
@@ -85,4 +98,28 @@
     }
 }
 
+// A stopping entry told callers that their jobs had been rejected, although the
+// writes of these jobs were on their way to the store.
+TEST(stopping_server, does_not_reject_a_request_that_may_have_taken_effect) {
+    constexpr int rounds = 100;
+    for (int round = 0; round < rounds; ++round) {
+        const auto port = free_port();
+        net::control_loop loop;
+        std::vector<net::responder> open;
+        net::async_http_server server(
+            loop, base::address{"127.0.0.1", port}, net::http_server_limits{},
+            [&](const net::served_request&, const net::responder& respond) {
+                open.push_back(respond);
+                loop.end();
+            });
+        const int connection = connect_to(port);
+        send_requests(connection, 1);
+        loop.run();
+        EXPECT_EQ(server.stop(), std::vector<std::string>{"GET /open"});
+        const auto answer = read_all(connection);
+        EXPECT_EQ(answer.find(" 503 "), std::string::npos) << answer;
+        close(connection);
+    }
+}
+
 } // namespace celerylift::test
--- a/tests/fleet/store_outage_test.cpp
+++ b/tests/fleet/store_outage_test.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+
 namespace celerylift::test {
 
 namespace {
@@ -77,4 +79,48 @@
     EXPECT_EQ(fleet.history.starts, 1);
 }
 
+// Calls that were still open when an entry ended were told that they had been
+// rejected, whatever had become of their writes.
+TEST(submission_to_a_stopping_entry, is_answered_as_unknown_before_it_ends) {
+    for (const auto fault :
+         {store_fault::lost_replies, store_fault::delayed_writes}) {
+        virtual_fleet fleet;
+        fleet.store.fault = fault;
+        const auto ends_at = fleet.sim.now + duration{1000};
+        fleet.entry(1).stop(ends_at);
+        const auto answer =
+            fleet.submit(make_job("00000000000000aa", "ms=100", 1, small));
+        EXPECT_EQ(answer.kind, fleet::answer_kind::outcome_unknown);
+        EXPECT_LT(fleet.sim.now, ends_at);
+    }
+}
+
+TEST(submission_to_a_stopping_entry, that_was_open_before_is_answered_too) {
+    virtual_fleet fleet;
+    fleet.store.fault = store_fault::lost_replies;
+    std::optional<fleet::answer> answer;
+    const auto job = make_job("00000000000000aa", "ms=100", 1, small);
+    fleet::submit(fleet.entry(1).api(),
+                  {"host", "/normal/" + job.id(), "kwela-key",
+                   fleet.sim.now + duration{3000}},
+                  job, [&](const fleet::answer& a) { answer = a; });
+    fleet.sim.run_for(duration{500});
+    const auto ends_at = fleet.sim.now + duration{1500};
+    fleet.entry(1).stop(ends_at);
+    fleet.sim.run_until([&] { return answer.has_value(); }, duration{3000});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->kind, fleet::answer_kind::outcome_unknown);
+    EXPECT_LT(fleet.sim.now, ends_at);
+}
+
+TEST(submission_to_a_stopping_entry, that_comes_too_late_never_runs) {
+    virtual_fleet fleet;
+    fleet.entry(1).stop(fleet.sim.now + duration{200});
+    const auto answer =
+        fleet.submit(make_job("00000000000000aa", "ms=100", 1, small));
+    EXPECT_EQ(answer.kind, fleet::answer_kind::not_run);
+    fleet.sim.run_for(duration{3000});
+    EXPECT_EQ(fleet.history.starts, 0);
+}
+
 } // namespace celerylift::test
--- a/tests/fleet/virtual_fleet.cpp
+++ b/tests/fleet/virtual_fleet.cpp
@@ -107,7 +107,7 @@
 }
 
 void virtual_fleet::stop_entry(int number) {
-    entries_.at(number)->node->stop();
+    entries_.at(number)->node->stop(sim.now + duration{200});
     sim.run_for(duration{200});
     kill_entry(number);
 }
