Send the last responses before an HTTP server ends

What callers saw: a connection to a stopping entry or agent closed without the answer that had been given just before (LOST for a request of planned work).

Cause: the control thread hands a response to the I/O thread and ends the server at once, and libmicrohttpd closes all connections when it is stopped, whether or not their responses have been sent.

Change: the server counts the requests whose responses are not sent yet and waits up to 300 ms for them before it is stopped.

--- a/modules/net/src/async_http_server.cpp
+++ b/modules/net/src/async_http_server.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <condition_variable>
 #include <cstdint>
 #include <fmt/format.h>
 #include <mutex>
@@ -16,6 +17,9 @@
 
 namespace {
 
+/// How long a server that ends waits until its last responses have been sent.
+constexpr duration max_flush_time{300};
+
 /// One request from its first line until its response has been sent.
 struct open_request {
     std::string target; // Method and path.
@@ -69,6 +73,8 @@
     MHD_Daemon* daemon = nullptr; // Null after the server is destroyed.
     bool stopping = false;
     std::set<std::pair<MHD_Connection*, open_request*>> suspended;
+    int unsent_responses = 0;
+    std::condition_variable all_sent;
 
     MHD_Result answer(MHD_Connection* connection,
                       const served_response& response) const;
@@ -76,6 +82,11 @@
     void respond(MHD_Connection* connection, open_request* open,
                  served_response response);
 
+    /// Waits until all responses have been sent, for a limited time.
+    void flush();
+
+    static void on_completed(void* handle, MHD_Connection* connection,
+                             void** state, MHD_RequestTerminationCode);
     static MHD_Result on_access(void* handle, MHD_Connection* connection,
                                 const char* url, const char* method,
                                 const char* version, const char* data,
@@ -125,6 +136,7 @@
     open.dispatched = true;
     {
         const std::lock_guard lock(mutex);
+        ++unsent_responses;
         // MHD_stop_daemon() requires that no connection is suspended.
         if (stopping)
             return answer(connection, stopping_response());
@@ -177,15 +189,25 @@
     return server.dispatch(connection, *open);
 }
 
-namespace {
-
-void on_completed(void*, MHD_Connection*, void** state,
-                  MHD_RequestTerminationCode) {
-    delete static_cast<open_request*>(*state);
-    *state = nullptr;
+void async_http_server::shared_state::on_completed(void* handle,
+                                                   MHD_Connection*,
+                                                   void** state,
+                                                   MHD_RequestTerminationCode) {
+    auto& server = *static_cast<shared_state*>(handle);
+    const std::unique_ptr<open_request> open(
+        static_cast<open_request*>(std::exchange(*state, nullptr)));
+    if (!open || !open->dispatched)
+        return;
+    const std::lock_guard lock(server.mutex);
+    if (--server.unsent_responses == 0)
+        server.all_sent.notify_all();
 }
 
-} // namespace
+void async_http_server::shared_state::flush() {
+    std::unique_lock lock(mutex);
+    all_sent.wait_for(lock, max_flush_time,
+                      [this] { return unsent_responses == 0; });
+}
 
 async_http_server::async_http_server(control_loop& loop,
                                      const base::address& at,
@@ -206,7 +228,7 @@
         static_cast<unsigned>(limits.idle_timeout.count() / 1000),
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, limits.max_header_bytes * 2,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
-        &on_completed, nullptr, MHD_OPTION_END);
+        &shared_state::on_completed, shared_.get(), MHD_OPTION_END);
     if (!daemon)
         throw std::runtime_error(fmt::format(
             "cannot listen on {}; check whether another process uses it",
@@ -237,6 +259,8 @@
     }
     if (!daemon)
         return {};
+    close_after_responses();
+    shared_->flush();
     MHD_stop_daemon(daemon);
     // Work that is still posted on the loop refers to the shared state.
     shared_->loop.post([state = shared_] {});
--- a/tests/fleet/http_server_test.cpp
+++ b/tests/fleet/http_server_test.cpp
@@ -118,6 +118,28 @@
         EXPECT_EQ(server.stop(), std::vector<std::string>{"GET /open"});
         const auto answer = read_all(connection);
         EXPECT_EQ(answer.find(" 503 "), std::string::npos) << answer;
+        EXPECT_NE(answer.find(" 504 "), std::string::npos) << "no answer";
+        close(connection);
+    }
+}
+
+// The process ended while the answer was still on its way to the I/O thread.
+TEST(stopping_server, delivers_an_answer_that_was_given_just_before) {
+    constexpr int rounds = 100;
+    for (int round = 0; round < rounds; ++round) {
+        const auto port = free_port();
+        net::control_loop loop;
+        net::async_http_server server(
+            loop, base::address{"127.0.0.1", port}, net::http_server_limits{},
+            [&](const net::served_request&, const net::responder& respond) {
+                respond({200, "stored", {}});
+                loop.end();
+            });
+        const int connection = connect_to(port);
+        send_requests(connection, 1);
+        loop.run();
+        EXPECT_EQ(server.stop(), std::vector<std::string>{});
+        EXPECT_NE(read_all(connection).find("stored"), std::string::npos);
         close(connection);
     }
 }
