Ignore a report about an earlier incarnation than the one that has runs

A report about a life of a server that is over, which reached the owner after one about the next life, made it lose the runs of the latter and start their tasks elsewhere.

Cause: the owner took each report for the newest of its agent. Class of fault: a late message is taken for the present state.

Change: the name of an incarnation holds its start; a report about one that started before another with assigned runs is logged as report_superseded and ignored. It doesn't count as a sign of life either: if the clock of a host went back, so that the later life seems the earlier one, the runs are given up at the end of their lease and reports count again.

--- a/modules/fleet/include/celerylift/fleet/names.hpp
+++ b/modules/fleet/include/celerylift/fleet/names.hpp
@@ -50,4 +50,11 @@
 /// Parses that format. Returns nothing if the text does not have it.
 std::optional<task_name> parse_task_name(std::string_view text);
 
+/// Names one life of a backend server: ID@START, with its start in milliseconds
+/// of Unix time.
+std::string incarnation_name(std::string_view id, std::int64_t started_unix_ms);
+
+/// The start that such a name holds, or 0 if it has none.
+std::int64_t start_of_incarnation(std::string_view name);
+
 } // namespace celerylift::fleet
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -2,10 +2,10 @@
 
 #include "agent_internal.hpp"
 
+#include <celerylift/fleet/names.hpp>
 #include <celerylift/fleet/run_lease.hpp>
 
 #include <algorithm>
-#include <fmt/format.h>
 
 namespace celerylift::fleet {
 
@@ -26,7 +26,7 @@
 constexpr duration lease_extension_timeout{1800};
 
 std::string incarnation_of(const server_heartbeat& heartbeat) {
-    return fmt::format("{}@{}", heartbeat.id, heartbeat.started_unix_ms);
+    return incarnation_name(heartbeat.id, heartbeat.started_unix_ms);
 }
 
 void apply_heartbeat(agent& self, const server_heartbeat& heartbeat) {
--- a/modules/fleet/src/names.cpp
+++ b/modules/fleet/src/names.cpp
@@ -10,8 +10,9 @@
 
 constexpr std::array<std::string_view, 3> part_names = {"in", "stop", "state"};
 
-std::optional<int> parse_number(std::string_view text) {
-    int value = 0;
+template <class Number>
+std::optional<Number> parse_number(std::string_view text) {
+    Number value = 0;
     const auto* end = text.data() + text.size();
     const auto [at, failure] = std::from_chars(text.data(), end, value);
     if (failure != std::errc{} || at != end || value < 0)
@@ -51,7 +52,7 @@
         const auto dot = text.rfind('.');
         if (dot == std::string_view::npos)
             return std::nullopt;
-        const auto number = parse_number(text.substr(dot + 1));
+        const auto number = parse_number<int>(text.substr(dot + 1));
         if (!number)
             return std::nullopt;
         numbers[i] = *number;
@@ -62,4 +63,16 @@
     return task_name{std::string(text), numbers[0], numbers[1], numbers[2]};
 }
 
+std::string incarnation_name(std::string_view id,
+                             std::int64_t started_unix_ms) {
+    return fmt::format("{}@{}", id, started_unix_ms);
+}
+
+std::int64_t start_of_incarnation(std::string_view name) {
+    const auto at = name.rfind('@');
+    if (at == std::string_view::npos)
+        return 0;
+    return parse_number<std::int64_t>(name.substr(at + 1)).value_or(0);
+}
+
 } // namespace celerylift::fleet
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -67,6 +67,20 @@
              "its backend server has restarted before the run was seen there");
 }
 
+/// Whether a report is about an earlier incarnation of the server than one that
+/// has runs. It tells nothing about these.
+bool is_superseded(const server& server, const AgentReport& report) {
+    const auto& reported = report.server().incarnation();
+    if (reported.empty() || reported == server.state.incarnation())
+        return false;
+    const auto start = start_of_incarnation(reported);
+    return std::ranges::any_of(server.assigned, [&](const auto& entry) {
+        const auto& task = *entry.second.task_ref;
+        return !task.ended_in_gang &&
+               start < start_of_incarnation(task.incarnation);
+    });
+}
+
 void apply_server_state(owner& self, server& server,
                         const AgentReport& report) {
     const auto& state = report.server();
@@ -214,6 +228,15 @@
         return;
     auto& server = self.servers[agent];
     server.agent = agent;
+    // Not even as a sign of life: should the later incarnation be gone after
+    // all, its runs are given up with their lease.
+    if (is_superseded(server, report)) {
+        self.run.journal.event("report_superseded",
+                               {{"agent", agent},
+                                {"incarnation", report.server().incarnation()},
+                                {"current", server.state.incarnation()}});
+        return;
+    }
     server.failure_domain = report.failure_domain();
     if (!std::exchange(server.has_reported, true))
         self.last_new_server_at = self.run.now();
