Count a crash that is reported after a later one

What users saw: a task that crashes its servers was started once more than its bound allows, because a crash on a host that was cut off for a while didn't count.

Cause: the record held the last run whose crash was counted, and every earlier run passed for counted. Reports of different agents come in any order.

A crash also counts after the job has failed, so that the record tells all of them.

--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,7 +28,7 @@
     /// them ran only tasks of its job then.
     int crashes = 0;
     int sole_crashes = 0;
-    int crashed_run = 0; // The last run whose crash was counted.
+    std::set<int> crashed_runs; // The latest runs whose crash was counted.
     std::string agent;
     std::string incarnation;
     std::string checkpoint;
--- a/modules/fleet/src/jobs.cpp
+++ b/modules/fleet/src/jobs.cpp
@@ -109,7 +109,8 @@
         task->failures = record.failures();
         task->crashes = record.crashes();
         task->sole_crashes = record.sole_crashes();
-        task->crashed_run = record.crashed_run();
+        task->crashed_runs = {record.crashed_runs().begin(),
+                              record.crashed_runs().end()};
         task->agent = record.agent();
         task->incarnation = record.incarnation();
         task->completed_run = record.completed_run();
@@ -140,7 +141,8 @@
                 out->set_failures(task.failures);
                 out->set_crashes(task.crashes);
                 out->set_sole_crashes(task.sole_crashes);
-                out->set_crashed_run(task.crashed_run);
+                for (const auto run : task.crashed_runs)
+                    out->add_crashed_runs(run);
                 out->set_completed_run(task.completed_run);
                 out->set_checkpoint(task.checkpoint);
                 out->set_avoid_agent(task.avoid_agent);
--- a/modules/fleet/src/owner_crashes.cpp
+++ b/modules/fleet/src/owner_crashes.cpp
@@ -16,6 +16,9 @@
 /// Crashes in all after which it is given up. Bounds the crashes of a task that
 /// has to share its servers.
 constexpr int max_crashes = 4;
+/// Runs of a task whose crash is known to be counted. More than `max_crashes`,
+/// because a long run clears its task but not these.
+constexpr std::size_t max_remembered_runs = 8;
 
 /// A run that has lasted this long shows that its task does not crash the
 /// servers that start it. Long work meets crashes that have other causes.
@@ -53,8 +56,23 @@
            self.run.now() >= task.first_seen_running_at + clearing_run_time;
 }
 
+/// Whether the crash under a run has been counted, or is too old to tell.
+/// Reports of different agents may arrive in any order.
+bool is_counted(const task& task, int run) {
+    return task.crashed_runs.contains(run) ||
+           (task.crashed_runs.size() == max_remembered_runs &&
+            run < *task.crashed_runs.begin());
+}
+
+void remember_run(task& task, int run) {
+    task.crashed_runs.insert(run);
+    if (task.crashed_runs.size() > max_remembered_runs)
+        task.crashed_runs.erase(task.crashed_runs.begin());
+}
+
 void count_crash(owner& self, const server& server, job& job, task& task,
-                 const ServerCrash& crash) {
+                 const ServerCrash& crash, int run) {
+    remember_run(task, run);
     if (outlived_suspicion(self, task)) {
         task.crashes = 0;
         task.sole_crashes = 0;
@@ -66,7 +84,7 @@
     task.crash_version = job.version;
     self.run.journal.event("task_suspected",
                            {{"task", to_string(task.name)},
-                            {"run", task.crashed_run},
+                            {"run", run},
                             {"agent", server.agent},
                             {"incarnation", crash.incarnation()},
                             {"active_runs", crash.active_runs_size()},
@@ -82,10 +100,8 @@
         return;
     auto& job = self.jobs.at(task->name.job);
     // An agent repeats a crash until it is on record.
-    if (run.run() > task->crashed_run && !is_final(job.state)) {
-        task->crashed_run = run.run();
-        count_crash(self, server, job, *task, crash);
-    }
+    if (!is_counted(*task, run.run()))
+        count_crash(self, server, job, *task, crash, run.run());
     if (has_lost_run(server, *task, crash, run.run()))
         lose_run(self, *task, "its backend server has crashed");
     const int max_sole = step_of(job, task->name).lasting()
