--- a/tests/fleet/adapter_test.cpp
+++ b/tests/fleet/adapter_test.cpp
@@ -1,4 +1,6 @@
 // Decoding of the platform's messages, and the errors for unreadable ones.
+#include "virtual_fleet.hpp"
+
 #include <celerylift/adapter/platform.hpp>
 
 #include <gtest/gtest.h>
@@ -54,6 +56,30 @@
     EXPECT_EQ(fleet::find_queue(config, "j", "/a/1"), nullptr);
 }
 
+// The error repeated the bytes that could not be decoded, and the exception of
+// the JSON library on encoding them ended the entry.
+TEST(submission, that_is_not_utf_8_is_answered_as_invalid) {
+    virtual_fleet fleet;
+    const auto status_of = [&](const std::string& path,
+                               const std::string& body) {
+        const net::served_request request{
+            "POST",
+            path,
+            {},
+            body,
+            {{"host", "host"}, {"api-key", "kwela-key"}}};
+        int status = 0;
+        adapter::serve_caller(fleet.entry(1).api(), request, fleet.sim.now,
+                              [&](const net::served_response& response) {
+                                  status = response.status;
+                              });
+        return status;
+    };
+    const std::string id = "00000000000000aa";
+    EXPECT_EQ(status_of("/normal/" + id, "{\"spec\":\"\xff\"}"), 400);
+    EXPECT_EQ(status_of("/normal/\xff", "{}"), 400);
+}
+
 TEST(heartbeat, is_decoded_with_its_rack_and_incarnation) {
     const auto decoded = adapter::decode_heartbeat("i-1", R"({"service":"s",
         "address":"10.0.0.1:80","state":"draining","remaining_ms":1800,
