Stop what is left of a job that is over when the owner changes

What users saw: a task of a cancelled job ran on for good (UNASKED), if its agent was away when it was cancelled and the owner changed before the stop was done.

Cause: that a run is being stopped isn't on record, and a new owner found the job cancelled already and did nothing. Its orders then named the run as one to go on with. The same holds for a job that has failed.

Change: an owner that takes over stops all assigned runs of jobs that are over.

Evidence: the new test failed before (the run was there, with its lease extended).

--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -205,6 +205,10 @@
                     // The former owner may have renewed grants until just now.
                     server.granted_until = end_of_grant(self.active_since);
                 }
+    // A former owner may not have completed the stops of a job that is over.
+    for (auto& [id, job] : self.jobs)
+        if (is_final(job.state))
+            stop_all_runs(self, job, "its job is over");
     self.run.journal.event("took_over", {{"epoch", epoch},
                                          {"jobs", self.jobs.size()},
                                          {"assigned_tasks", assigned}});
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -294,6 +294,28 @@
     EXPECT_LE(fleet.sim.now - before, duration{300});
 }
 
+// The stop of a run was not on record. A new owner took the run for one to be
+// continued and extended its lease for good.
+TEST(owner, that_takes_over_stops_the_runs_of_a_cancelled_job) {
+    virtual_fleet fleet;
+    fleet.submit(make_job(job_id(1), "ms=60000", 1, small));
+    fleet.sim.run_for(duration{1000});
+    ASSERT_EQ(fleet.history.running.size(), 1U);
+    const auto server = fleet.history.running.begin()->second;
+    const int agent = std::stoi(server.substr(server.rfind('-') + 1));
+    fleet.kill_agent(agent);
+    EXPECT_EQ(fleet.cancel(job_id(1), 1).kind, answer_kind::accepted);
+    fleet.sim.run_for(duration{500});
+    const int old_owner = fleet.owner_entry();
+    fleet.kill_entry(old_owner);
+    fleet.start_agent(agent);
+    fleet.sim.run_for(duration{500});
+    fleet.start_entry(old_owner);
+    fleet.sim.run_for(duration{4000});
+    EXPECT_TRUE(fleet.history.running.empty());
+    expect_no_violations(fleet);
+}
+
 // While a stopping owner served its last callers, it took over the cell again
 // with its old epoch, and did not pass on the reports of agents.
 TEST(owner, that_has_stopped_does_not_take_over_again) {
