Keep on record which failed run of a gang has been counted

What users saw: a job of a gang was shown as failed after one of its two attempts (LOST), if the owner was killed before it knew that the failure was on record.

Cause: the members of a gang report one failure, counted once by the run's number, but that number wasn't in the record. The next owner got the same end again and counted it once more.

Change: the record of a task has the number.

--- a/modules/fleet/src/jobs.cpp
+++ b/modules/fleet/src/jobs.cpp
@@ -114,6 +114,7 @@
         task->agent = record.agent();
         task->incarnation = record.incarnation();
         task->completed_run = record.completed_run();
+        task->counted_failed_run = record.counted_failed_run();
         task->stopping =
             task->phase == task_phase::assigned && has_succeeded(*task);
         task->checkpoint = record.checkpoint();
@@ -144,6 +145,7 @@
                 for (const auto run : task.crashed_runs)
                     out->add_crashed_runs(run);
                 out->set_completed_run(task.completed_run);
+                out->set_counted_failed_run(task.counted_failed_run);
                 out->set_checkpoint(task.checkpoint);
                 out->set_avoid_agent(task.avoid_agent);
                 if (task.phase != task_phase::assigned)
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -316,6 +316,34 @@
     expect_no_violations(fleet);
 }
 
+// The owner ended before it knew that the failure was on record. The next owner
+// got the same end from the agent and counted it again.
+TEST(owner, that_takes_over_counts_the_failed_run_of_a_gang_once) {
+    virtual_fleet fleet;
+    fleet.submit(make_gang(job_id(1), "fail", 2, whole_server));
+    const auto failures = [&] {
+        const auto& owner = fleet.entry(fleet.owner_entry()).owner_state();
+        return owner.jobs.at(job_id(1))
+            .occurrences[0]
+            .steps[0]
+            .tasks[0]
+            .failures;
+    };
+    ASSERT_TRUE(fleet.sim.run_until([&] { return fleet.history.starts == 2; },
+                                    duration{2000}));
+    fleet.store.fault = store_fault::lost_replies;
+    const int old_owner = fleet.owner_entry();
+    ASSERT_TRUE(
+        fleet.sim.run_until([&] { return failures() == 1; }, duration{2000}));
+    fleet.sim.run_for(duration{20});
+    fleet.kill_entry(old_owner);
+    fleet.store.fault = store_fault::none;
+    ASSERT_TRUE(fleet.sim.run_until([&] { return fleet.is_settled(); },
+                                    duration{5000}));
+    fleet.sim.run_for(duration{300});
+    EXPECT_EQ(failures(), 1);
+}
+
 // While a stopping owner served its last callers, it took over the cell again
 // with its old epoch, and did not pass on the reports of agents.
 TEST(owner, that_has_stopped_does_not_take_over_again) {
