Fail a job without attempts left once its queue is back

What users saw: a task was started once more after its last allowed run had failed (BUDGET), if its route was out of the configuration at that moment.

Cause: without a queue there is no limit of attempts, and nothing looked again when a later version brought the route back. The same holds for a version that allows fewer attempts.

Change: with each version, and after a takeover, the owner fails the jobs whose waiting tasks have none left.

--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -205,6 +205,7 @@
                     // The former owner may have renewed grants until just now.
                     server.granted_until = end_of_grant(self.active_since);
                 }
+    fail_jobs_without_attempts_left(self);
     // A former owner may not have completed the stops of a job that is over.
     for (auto& [id, job] : self.jobs)
         if (is_final(job.state))
@@ -222,8 +223,10 @@
 
 void on_config(owner& self, std::shared_ptr<const fleet_config> config) {
     self.config = std::move(config);
-    if (self.epoch != 0)
-        process_changes(self);
+    if (self.epoch == 0)
+        return;
+    fail_jobs_without_attempts_left(self);
+    process_changes(self);
 }
 
 void on_report(owner& self, const std::string& agent,
--- a/modules/fleet/src/owner_attempts.cpp
+++ b/modules/fleet/src/owner_attempts.cpp
@@ -1,5 +1,7 @@
 #include "owner_internal.hpp"
 
+#include <algorithm>
+
 namespace celerylift::fleet {
 
 namespace {
@@ -53,6 +55,23 @@
            task.failures >= queue->max_attempts;
 }
 
+void fail_jobs_without_attempts_left(owner& self) {
+    for (auto& [id, job] : self.jobs) {
+        if (is_final(job.state))
+            continue;
+        for (const auto& occurrence : job.occurrences)
+            for (const auto& step : occurrence.steps) {
+                const auto task = std::ranges::find_if(
+                    step.tasks, [&, &job = job](const auto& task) {
+                        return task.phase == task_phase::waiting &&
+                               has_no_attempts_left(self, job, task);
+                    });
+                if (task != step.tasks.end() && !is_final(job.state))
+                    fail_job(self, job, *task, "it has no attempts left");
+            }
+    }
+}
+
 bool is_pausing(const owner& self, const job& job, const task& task) {
     // Lasting work has no limit of attempts, and its time is lost.
     if (task.failures == 0 || !self.policy.pause_after_failures ||
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -38,6 +38,11 @@
 void count_failure(owner& self, server& server, job& job, task& task);
 bool has_no_attempts_left(const owner& self, const job& job, const task& task);
 
+/// Fails the jobs with a waiting task that the configuration in force allows no
+/// further run: it failed while its queue was away, or the queue allows fewer
+/// attempts now. A run that has been started may still succeed.
+void fail_jobs_without_attempts_left(owner& self);
+
 /// Applies the reported crashes of a server's earlier incarnations. Counts each
 /// against the tasks whose runs may have been active there, once, and fails
 /// jobs with a task that crashes one server after the other.
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -344,6 +344,21 @@
     EXPECT_EQ(failures(), 1);
 }
 
+// Without its queue a job had no limit of attempts, and nothing looked again
+// once the queue was back.
+TEST(owner, that_gets_a_queue_back_starts_no_task_without_attempts_left) {
+    virtual_fleet fleet;
+    fleet.submit(make_job(job_id(1), "fail", 1, small));
+    ASSERT_TRUE(fleet.sim.run_until([&] { return fleet.history.starts == 2; },
+                                    duration{10'000}));
+    fleet.configure_without_normal_queue(2);
+    fleet.sim.run_for(duration{2000});
+    fleet.configure(3);
+    fleet.sim.run_for(duration{5000});
+    EXPECT_EQ(fleet.history.starts, 2);
+    EXPECT_EQ(fleet.show(job_id(1)).state, fleet::JOB_FAILED);
+}
+
 // While a stopping owner served its last callers, it took over the cell again
 // with its old epoch, and did not pass on the reports of agents.
 TEST(owner, that_has_stopped_does_not_take_over_again) {
--- a/tests/fleet/virtual_fleet.cpp
+++ b/tests/fleet/virtual_fleet.cpp
@@ -13,6 +13,7 @@
 constexpr duration call_timeout{3000};
 
 constexpr std::string_view without_cwm_key = " without the key of cwm-sump";
+constexpr std::string_view without_normal_queue = " without the normal queue";
 
 std::string address_of(int entry) {
     return fmt::format("10.0.0.{}:7100", entry);
@@ -33,6 +34,8 @@
     config.organisations.push_back({"cwm-sump", {"cwm-key"}, 8});
     if (text.ends_with(without_cwm_key))
         config.organisations.back().keys.clear();
+    if (text.ends_with(without_normal_queue))
+        config.queues.pop_back();
     return config;
 }
 
@@ -61,6 +64,11 @@
               std::to_string(version) + std::string(without_cwm_key));
 }
 
+void virtual_fleet::configure_without_normal_queue(int version) {
+    store.put("op/config",
+              std::to_string(version) + std::string(without_normal_queue));
+}
+
 void virtual_fleet::configure(int version) {
     store.put("op/config", std::to_string(version));
 }
--- a/tests/fleet/virtual_fleet.hpp
+++ b/tests/fleet/virtual_fleet.hpp
@@ -88,6 +88,8 @@
     void configure(int version);
     /// Writes the same configuration without the key of cwm-sump.
     void configure_without_cwm_key(int version);
+    /// Writes the same configuration without the queue normal.
+    void configure_without_normal_queue(int version);
 
 private:
     struct entry_process {
