Let lasting work of a batch queue start on the emptiest rack

What users saw: a lasting step that fits on the emptiest rack only didn't run for 60% of its declared run time on an idle service (LOST, 36 s for 60 s).

Cause: batch work keeps off that rack until it has waited for a share of its run time, which lasting work doesn't have.

Change: lasting work counts as having waited, so that it may use all racks and reserve for a gang at once.

--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -175,10 +175,12 @@
                                     free.begin());
 }
 
+/// Lasting work has no run time to compare with and must run within seconds.
 bool has_waited_long(const owner& self, const job& job,
                      const waiting_unit& unit, const task& first) {
-    return waiting_time(self, first) >
-           expected_run_time(self, job, unit.step) * long_wait_percent / 100;
+    return job.submission.steps(unit.step).lasting() ||
+           waiting_time(self, first) > expected_run_time(self, job, unit.step) *
+                                           long_wait_percent / 100;
 }
 
 /// Excludes the emptiest rack while batch work can still wait, so that it stays
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -359,6 +359,18 @@
     EXPECT_EQ(fleet.show(job_id(1)).state, fleet::JOB_FAILED);
 }
 
+// Lasting work kept off the emptiest rack for most of its declared run time,
+// also where nothing else could run it.
+TEST(lasting_work, that_fits_on_the_emptiest_rack_only_starts_at_once) {
+    virtual_fleet fleet({3, 1, 1});
+    auto job = make_job(job_id(1), "hang", 1, small);
+    job.mutable_steps(0)->set_lasting(true);
+    job.mutable_steps(0)->set_estimate_ms(60'000);
+    fleet.submit(job);
+    EXPECT_TRUE(fleet.sim.run_until([&] { return fleet.history.starts == 1; },
+                                    duration{500}));
+}
+
 // While a stopping owner served its last callers, it took over the cell again
 // with its old epoch, and did not pass on the reports of agents.
 TEST(owner, that_has_stopped_does_not_take_over_again) {
