Start nothing that was queued when its server departed

A start that was still queued when the agent reported the departure of its server took effect when the server answered again, on a grant that was still valid; by then the owner had placed the task elsewhere.

Cause: the agent took its server back without new orders. Class of fault: orders are kept beyond the state that they were given for.

Change: once a server has departed, only orders that answer a later report count.

Evidence: the new test failed before.

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -67,6 +67,9 @@
     time_point earliest_shutdown_at{};
     std::string incarnation{};
     bool departed = false;
+    /// When the agent last took the server for departed. The owner gives up the
+    /// server's runs, so orders that answer an earlier report count no more.
+    time_point departed_at{};
     bool has_announced_end = false;
     bool stopping = false;
 
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -34,6 +34,12 @@
     self.earliest_shutdown_at = self.run.now() + heartbeat.remaining;
 }
 
+void mark_departed(agent& self) {
+    self.departed = true;
+    self.departed_at = self.run.now();
+    self.has_orders = false;
+}
+
 void follow_new_incarnation(agent& self, const server_heartbeat& heartbeat) {
     record_crash(self);
     apply_heartbeat(self, heartbeat);
@@ -115,7 +121,7 @@
     if (reply.status == server_status::other_incarnation) {
         self.run.journal.event("server_replaced",
                                {{"incarnation", self.incarnation}});
-        self.departed = true;
+        mark_departed(self);
         send_report(self);
         return;
     }
@@ -219,7 +225,7 @@
     if (self.departed || now < self.last_reply_at + unresponsive_timeout ||
         now < self.run_lease_expires_by)
         return;
-    self.departed = true;
+    mark_departed(self);
     self.run.journal.event("server_silent",
                            {{"incarnation", self.incarnation},
                             {"silent_ms", (now - self.last_reply_at).count()}});
@@ -253,7 +259,7 @@
 void on_departure(agent& self, const std::string& id) {
     if (id != self.last_heartbeat.id)
         return;
-    self.departed = true;
+    mark_departed(self);
     self.has_announced_end = true;
     self.run.journal.event("server_departed",
                            {{"incarnation", self.incarnation}});
--- a/modules/fleet/src/agent_orders.cpp
+++ b/modules/fleet/src/agent_orders.cpp
@@ -333,7 +333,7 @@
     forget_recorded_crashes(self, orders);
     if (orders.incarnation() != self.incarnation || self.incarnation.empty())
         return;
-    self.has_orders = true;
+    self.has_orders = answered >= self.departed_at;
     if (orders.noted_end() > self.acknowledged_up_to) {
         self.acknowledged_up_to = orders.noted_end();
         std::erase_if(self.ended, [&](const EndedTask& e) {
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -48,6 +48,15 @@
         call.second(reply);
     }
 
+    /// Leaves the newest poll without an answer.
+    void time_out() {
+        fleet::poll_reply reply;
+        reply.status = fleet::server_status::unknown;
+        auto call = polls.back();
+        polls.pop_back();
+        call.second(reply);
+    }
+
     /// Answers the oldest or the newest poll of the runs.
     void answer(bool oldest, std::int64_t clock_ms,
                 const std::vector<std::string>& running) {
@@ -225,6 +234,38 @@
     EXPECT_EQ(fixture.report.gone_size(), 1);
 }
 
+// The owner starts the tasks of a server that has departed elsewhere. A start
+// that was still queued took effect when the server answered again.
+TEST(single_agent, starts_nothing_that_was_queued_when_its_server_departed) {
+    agent_fixture fixture;
+    auto idle = fixture.orders(false);
+    idle.clear_assigned();
+    fleet::on_orders(fixture.agent, idle);
+    const auto tick = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            fixture.sim.run_for(duration{100});
+            fleet::on_tick(fixture.agent);
+            if (!fixture.server.polls.empty())
+                fixture.server.time_out();
+        }
+    };
+    tick(40);
+    // The owner has seen nothing but reports without a departure.
+    fleet::on_orders(fixture.agent, idle);
+    for (int i = 0; i < 60 && !fixture.report.server().departed(); ++i) {
+        auto issued = fixture.orders(false, 1, "j.0.0." + std::to_string(i));
+        fleet::on_orders(fixture.agent, issued);
+        tick(1);
+    }
+    ASSERT_TRUE(fixture.report.server().departed());
+    ASSERT_TRUE(fixture.server.starts.empty());
+    fixture.sim.run_for(duration{100});
+    fleet::on_tick(fixture.agent);
+    ASSERT_FALSE(fixture.server.polls.empty());
+    fixture.server.answer(false, 10'000, {});
+    EXPECT_TRUE(fixture.server.starts.empty());
+}
+
 // A delayed heartbeat reset the remaining time of a draining server to a value
 // that was out of date.
 TEST(single_agent, takes_the_remaining_time_from_the_newest_heartbeat) {
