Follow a server that starts again after its clock went back

What could be seen: a server got no work until it or its agent was started again, if the clock of its host had gone back by more than the age of its former life.

Cause: the agent takes a heartbeat with an earlier start for a late one. It does so no more once the life that it followed has departed; the server must answer for the new one, as before.

Evidence: the new test failed before.

--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -235,7 +235,9 @@
 } // namespace
 
 bool on_heartbeat(agent& self, const server_heartbeat& heartbeat) {
-    if (heartbeat.started_unix_ms < self.last_heartbeat.started_unix_ms)
+    // The clock of a host may have gone back before its server started again.
+    if (heartbeat.started_unix_ms < self.last_heartbeat.started_unix_ms &&
+        !self.departed)
         return false;
     if (self.incarnation != incarnation_of(heartbeat)) {
         self.announced = heartbeat;
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -310,4 +310,24 @@
     EXPECT_EQ(fixture.report.server().incarnation(), "i-2@9");
 }
 
+// The clock of a host went back before its server started again. The agent
+// took each heartbeat of the new life for a late one of an earlier life.
+TEST(single_agent, follows_a_server_that_starts_after_its_clock_went_back) {
+    agent_fixture fixture;
+    fixture.sim.run_for(duration{1000});
+    fleet::on_tick(fixture.agent);
+    ASSERT_FALSE(fixture.server.polls.empty());
+    fixture.server.disown(); // The followed life has ended.
+    ASSERT_TRUE(fixture.report.server().departed());
+    auto next = fixture.agent.last_heartbeat;
+    next.id = "i-2";
+    next.started_unix_ms = 4;
+    fleet::on_heartbeat(fixture.agent, next);
+    EXPECT_EQ(fixture.server.last_polled_id, "i-2");
+    if (!fixture.server.polls.empty())
+        fixture.server.answer(false, 40, {});
+    fleet::report_now(fixture.agent);
+    EXPECT_EQ(fixture.report.server().incarnation(), "i-2@4");
+}
+
 } // namespace celerylift::test
