Never resend a request of the gang scheduler by itself

What could be seen: a write was sent twice, and the rejection of the second counted for both, if a reused connection ended without a response.

Cause: the HTTP library sends such a request again unless it is told that its body can not be read again.

Evidence: the new test failed before (three requests instead of two).

--- a/modules/platform/src/http_client.cpp
+++ b/modules/platform/src/http_client.cpp
@@ -34,6 +34,27 @@
     return size * count;
 }
 
+/// The part of a request's body that has been sent.
+struct body_reader {
+    const std::string& body;
+    std::size_t sent = 0;
+};
+
+std::size_t read_body(char* out, std::size_t size, std::size_t count,
+                      void* reader) {
+    auto& r = *static_cast<body_reader*>(reader);
+    const auto bytes = std::min(size * count, r.body.size() - r.sent);
+    r.body.copy(out, bytes, r.sent);
+    r.sent += bytes;
+    return bytes;
+}
+
+/// By default curl resends a request when a reused connection closes without
+/// a response, and the server may have executed the first one.
+int reject_resend(void*, curl_off_t, int) {
+    return CURL_SEEKFUNC_FAIL;
+}
+
 struct curl_deleter {
     void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
 };
@@ -47,7 +68,7 @@
     return handle.get();
 }
 
-void prepare(CURL* handle, const http_request& request,
+void prepare(CURL* handle, const http_request& request, body_reader& body,
              http_response& response) {
     curl_easy_reset(handle);
     curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
@@ -63,9 +84,12 @@
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &response.headers);
     if (request.method == "GET" || request.method == "DELETE")
         return;
-    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
+    curl_easy_setopt(handle, CURLOPT_POST, 1L);
     curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE,
                      static_cast<long>(request.body.size()));
+    curl_easy_setopt(handle, CURLOPT_READFUNCTION, read_body);
+    curl_easy_setopt(handle, CURLOPT_READDATA, &body);
+    curl_easy_setopt(handle, CURLOPT_SEEKFUNCTION, reject_resend);
 }
 
 } // namespace
@@ -75,7 +99,8 @@
     auto* handle = handle_of_thread();
     if (!handle)
         return response;
-    prepare(handle, request, response);
+    body_reader body{request.body};
+    prepare(handle, request, body, response);
     // An empty Expect header stops curl from waiting for 100 Continue before
     // it sends a large body. Bodies may hold any bytes.
     auto* headers = curl_slist_append(nullptr, "Expect:");
--- a/tests/fleet/http_client_test.cpp
+++ b/tests/fleet/http_client_test.cpp
@@ -1,5 +1,6 @@
 // The HTTP client with a server that closes a connection without a response.
 #include <celerylift/net/http_client.hpp>
+#include <celerylift/platform/http_client.hpp>
 
 #include <gtest/gtest.h>
 
@@ -132,4 +133,17 @@
               net::call_result::not_sent);
 }
 
+// The gang scheduler's client sends a call again that its server may have done.
+// The second one is rejected, and the call counts as without effect.
+TEST(gang_http_client, never_resends_a_request_by_itself) {
+    closing_server server;
+    platform::http_request request;
+    request.method = "POST";
+    request.url = "http://" + to_string(server.at()) + "/v1/requests/1";
+    request.body = "{}";
+    EXPECT_EQ(platform::call_http(request).status, 200);
+    EXPECT_EQ(platform::call_http(request).result, platform::http_result::lost);
+    EXPECT_EQ(server.requests(), 2);
+}
+
 } // namespace celerylift::test
