Give a page of the store more time when it has not arrived

Cause: a page of up to a megabyte had one second, and one that took longer was asked for again from its start, for ever. Class of fault: a fixed time-out for work without a fixed size.

Change: a page that does not arrive is read again with twice the time, up to 16 s; a dead connection is still noticed after one second at first.

--- a/modules/fleet/include/celerylift/fleet/watch_cache.hpp
+++ b/modules/fleet/include/celerylift/fleet/watch_cache.hpp
@@ -63,6 +63,7 @@
     std::int64_t read_as_of_ = 0;
     std::string last_read_key_;
     std::map<std::string, std::int64_t> keys_read_;
+    duration read_timeout_;
     bool loaded_ = false;
     bool catching_up_ = false;
     bool reachable_ = true;
--- a/modules/fleet/src/watch_cache.cpp
+++ b/modules/fleet/src/watch_cache.cpp
@@ -1,12 +1,17 @@
 #include <celerylift/fleet/watch_cache.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace celerylift::fleet {
 
 namespace {
 
-constexpr duration read_timeout{1000};
+/// A page has up to a megabyte, which takes seconds on a narrow link, while a
+/// dead connection should be noticed soon: a page that does not arrive in time
+/// is read again with twice the time.
+constexpr duration min_read_timeout{1000};
+constexpr duration max_read_timeout{16'000};
 /// A watch that has not answered by its timeout is abandoned. The times are
 /// short because nothing else shows that its connection is dead.
 constexpr duration max_watch_wait{1500};
@@ -23,7 +28,7 @@
                          std::function<void()> on_progress)
     : run_(run), store_(source), prefix_(std::move(prefix)),
       batch_interval_(batch_interval), on_change_(std::move(on_change)),
-      on_progress_(std::move(on_progress)) {}
+      on_progress_(std::move(on_progress)), read_timeout_(min_read_timeout) {}
 
 void watch_cache::start() {
     read_as_of_ = 0;
@@ -43,11 +48,13 @@
 }
 
 void watch_cache::read_page() {
-    store_.range(prefix_, last_read_key_, read_timeout,
+    store_.range(prefix_, last_read_key_, read_timeout_,
                  [this](const range_reply& page) { handle_page(page); });
 }
 
 void watch_cache::handle_page(const range_reply& page) {
+    if (page.status == store_status::unknown)
+        read_timeout_ = std::min(read_timeout_ * 2, max_read_timeout);
     if (page.status != store_status::ok)
         return retry(&watch_cache::read_page);
     last_answer_ = run_.now();
@@ -72,6 +79,7 @@
     for (const auto& key : removed_keys)
         apply({{key, "", read_as_of_}, true});
     keys_read_.clear();
+    read_timeout_ = min_read_timeout;
     as_of_ = std::max(as_of_, read_as_of_);
     loaded_ = true;
     run_.journal.event(
@@ -119,7 +127,7 @@
 void watch_cache::catch_up() {
     if (!loaded_ || std::exchange(catching_up_, true))
         return;
-    store_.watch(prefix_, as_of_, min_watch_wait, read_timeout,
+    store_.watch(prefix_, as_of_, min_watch_wait, min_read_timeout,
                  [this](const watch_reply& reply) {
                      catching_up_ = false;
                      if (reply.status == store_status::ok)
--- a/tests/fleet/store_outage_test.cpp
+++ b/tests/fleet/store_outage_test.cpp
@@ -79,6 +79,24 @@
     EXPECT_EQ(fleet.history.starts, 1);
 }
 
+// Each page had one second. Over a narrow link it takes longer, and the entries
+// asked for it again for ever.
+TEST(restart_of_all_entries, over_narrow_links_reads_the_jobs) {
+    virtual_fleet fleet;
+    fleet.submit(make_job("00000000000000aa", "ms=60000", 1, small));
+    for (int n = 1; n <= 3; ++n)
+        fleet.kill_entry(n);
+    fleet.store.page_time = duration{4500};
+    fleet.sim.run_for(duration{1200});
+    for (int n = 1; n <= 3; ++n)
+        fleet.start_entry(n);
+    EXPECT_TRUE(fleet.sim.run_until(
+        [&] { return fleet.entry(1).is_ready() && fleet.owner_entry() != 0; },
+        duration{20'000}));
+    EXPECT_TRUE(fleet.show("00000000000000aa").kind ==
+                fleet::answer_kind::shown);
+}
+
 // Calls that were still open when an entry ended were told that they had been
 // rejected, whatever had become of their writes.
 TEST(submission_to_a_stopping_entry, is_answered_as_unknown_before_it_ends) {
--- a/tests/fleet/virtual_store.cpp
+++ b/tests/fleet/virtual_store.cpp
@@ -45,6 +45,15 @@
     void range(const std::string& prefix, const std::string& after,
                duration timeout,
                fleet::reply_handler<fleet::range_reply> done) override {
+        if (store_.page_time > timeout)
+            return reply_after(timeout, std::move(done), fleet::range_reply{});
+        if (store_.page_time > duration{0}) {
+            auto& sim = store_.sim_;
+            return sim.after(store_.page_time, liveness_,
+                             [&store = store_, prefix, after, done] {
+                                 done(store.range(prefix, after));
+                             });
+        }
         call<fleet::range_reply>(false, timeout, std::move(done),
                                  [&store = store_, prefix, after] {
                                      return store.range(prefix, after);
--- a/tests/fleet/virtual_store.hpp
+++ b/tests/fleet/virtual_store.hpp
@@ -30,6 +30,7 @@
     std::map<std::string, store_fault> client_faults; // By client name.
     bool delay_watches = false;
     duration one_way_delay{2};
+    duration page_time{0}; // How long a page of a range takes to arrive.
     int watch_calls = 0;
 
     /// Creates the client of one process. Replies are dropped once that process
