--- /dev/null
+++ b/tests/fleet/late_messages_test.cpp
@@ -0,0 +1,135 @@
+// Messages that arrive late, or about another life of a server than the one
+// that answers now. None of them may cost a run that goes on.
+#include "virtual_fleet.hpp"
+
+#include <celerylift/fleet/names.hpp>
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <fmt/format.h>
+
+namespace celerylift::test {
+
+namespace {
+
+constexpr fleet::resources small{8'000, 16'000, 1};
+
+std::string job_id(int n) {
+    return fmt::format("{:016x}", n);
+}
+
+int server_of(const virtual_fleet& fleet, const std::string& job) {
+    const auto it =
+        fleet.history.running.find(fleet::to_string({job, 0, 0, 0}));
+    return it == fleet.history.running.end()
+               ? 0
+               : std::stoi(it->second.substr(it->second.rfind('-') + 1));
+}
+
+/// Starts one task of nine seconds. Returns the number of its server.
+int start_long_task(virtual_fleet& fleet) {
+    fleet.submit(make_job(job_id(1), "ms=9000", 1, small));
+    fleet.sim.run_for(duration{1500});
+    return server_of(fleet, job_id(1));
+}
+
+void inject(virtual_fleet& fleet, int agent, const fleet::AgentReport& report) {
+    fleet::FleetEnvelope late;
+    *late.mutable_report() = report;
+    fleet.entry(fleet.owner_entry())
+        .on_message(fmt::format("agent-{}", agent), late);
+}
+
+void expect_one_run(virtual_fleet& fleet) {
+    EXPECT_EQ(fleet.history.starts, 1);
+    for (const auto& violation : fleet.history.violations)
+        ADD_FAILURE() << violation;
+    if (::testing::Test::HasFailure() && std::getenv("FLEET_LOG"))
+        for (const auto& line : fleet.sim.log)
+            fmt::print("{}\n", line);
+}
+
+} // namespace
+
+// A report of an earlier agent that had found no server, and that arrives once
+// the next agent has reported runs there.
+TEST(late_report, that_no_server_was_found_loses_no_run) {
+    virtual_fleet fleet;
+    const int n = start_long_task(fleet);
+    ASSERT_NE(n, 0);
+    fleet::AgentReport report;
+    report.set_failure_domain("za-north-a");
+    report.set_sent_at_ms(1);
+    report.set_has_no_server(true);
+    inject(fleet, n, report);
+    fleet.sim.run_for(duration{3000});
+    expect_one_run(fleet);
+}
+
+// An older report about the same incarnation: an agent may have taken its
+// server for departed until the server answered again.
+TEST(late_report, that_the_same_incarnation_had_departed_loses_no_run) {
+    virtual_fleet fleet;
+    const int n = start_long_task(fleet);
+    ASSERT_NE(n, 0);
+    fleet::AgentReport report;
+    report.set_failure_domain("za-north-a");
+    report.set_sent_at_ms(1);
+    report.mutable_server()->set_incarnation(fleet.agent(n).incarnation);
+    report.mutable_server()->set_service("order-desk");
+    report.mutable_server()->set_departed(true);
+    inject(fleet, n, report);
+    fleet.sim.run_for(duration{3000});
+    expect_one_run(fleet);
+}
+
+// A server that starts again may keep its id. The departure of its earlier life
+// is handled once the next life has runs, as after a pause of the agent.
+TEST(late_departure, of_an_earlier_life_of_the_same_id_loses_no_run) {
+    virtual_fleet fleet;
+    for (int n = 1; n <= 6; ++n) {
+        fleet.server(n).crash();
+        fleet.server(n).restart();
+    }
+    fleet.sim.run_for(duration{3000});
+    const int n = start_long_task(fleet);
+    ASSERT_NE(n, 0);
+    fleet::on_departure(fleet.agent(n), fleet.server(n).id());
+    fleet.sim.run_for(duration{3000});
+    expect_one_run(fleet);
+}
+
+// Reports about a life of a server that seems to be the earlier one, because
+// the clock of its host went back, count again once the lease of the runs of
+// the other life has ended.
+TEST(superseded_reports, count_again_after_the_end_of_the_lease) {
+    virtual_fleet fleet;
+    const int n = start_long_task(fleet);
+    ASSERT_NE(n, 0);
+    const int owner = fleet.owner_entry();
+    fleet.server(n).crash();
+    fleet.kill_agent(n);
+    fleet::AgentReport report;
+    report.set_failure_domain("za-north-a");
+    report.mutable_server()->set_incarnation(fmt::format("server-{}@1", n));
+    report.mutable_server()->set_service("order-desk");
+    const auto name = fmt::format("agent-{}", n);
+    const auto is_heard = [&] {
+        return fleet.entry(owner)
+                   .owner_state()
+                   .servers.at(name)
+                   .state.incarnation() == report.server().incarnation();
+    };
+    for (int i = 0; i < 16 && !is_heard(); ++i) {
+        report.set_sent_at_ms(fleet.sim.now.time_since_epoch().count());
+        inject(fleet, n, report);
+        fleet.sim.run_for(duration{500});
+    }
+    EXPECT_TRUE(is_heard());
+    fleet.sim.run_for(duration{3000});
+    EXPECT_EQ(fleet.history.starts, 2); // The lost task has started elsewhere.
+    EXPECT_TRUE(fleet.history.violations.empty());
+}
+
+} // namespace celerylift::test
