Keep counted crashes readable for an earlier version, and log superseded reports once

During an upgrade an owner of an earlier version read no counted run from a record and could count a crash twice: the record has the last run under its former number again, and all of them under a new one. Ignored reports were logged each time; now the first one is, and the rest are counted. The server that stops waits 150 ms for its last responses, so that three servers that stop in turn stay within the 6 s that the platform allows.

--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -9,7 +9,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -28,7 +27,8 @@
     /// them ran only tasks of its job then.
     int crashes = 0;
     int sole_crashes = 0;
-    std::set<int> crashed_runs; // The latest runs whose crash was counted.
+    std::vector<int>
+        crashed_runs; // The latest whose crash was counted, sorted.
     std::string agent;
     std::string incarnation;
     std::string checkpoint;
--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -62,6 +62,8 @@
     bool has_reported = false; // Since this owner became active.
     time_point last_report_at{};
     std::int64_t answered_sent_at_ms = 0;
+    /// The last report was about an earlier incarnation, and was ignored.
+    bool sends_superseded_reports = false;
     /// No run covered by a grant so far can go on beyond this time.
     time_point granted_until{};
     std::vector<RunningTask> running;
--- a/modules/fleet/src/jobs.cpp
+++ b/modules/fleet/src/jobs.cpp
@@ -109,8 +109,11 @@
         task->failures = record.failures();
         task->crashes = record.crashes();
         task->sole_crashes = record.sole_crashes();
-        task->crashed_runs = {record.crashed_runs().begin(),
-                              record.crashed_runs().end()};
+        task->crashed_runs.assign(record.crashed_runs().begin(),
+                                  record.crashed_runs().end());
+        // A record of an earlier version has the last run only.
+        if (task->crashed_runs.empty() && record.crashed_run() > 0)
+            task->crashed_runs.push_back(record.crashed_run());
         task->agent = record.agent();
         task->incarnation = record.incarnation();
         task->completed_run = record.completed_run();
@@ -142,8 +145,10 @@
                 out->set_failures(task.failures);
                 out->set_crashes(task.crashes);
                 out->set_sole_crashes(task.sole_crashes);
-                for (const auto run : task.crashed_runs)
-                    out->add_crashed_runs(run);
+                if (!task.crashed_runs.empty())
+                    out->set_crashed_run(task.crashed_runs.back());
+                out->mutable_crashed_runs()->Assign(task.crashed_runs.begin(),
+                                                    task.crashed_runs.end());
                 out->set_completed_run(task.completed_run);
                 out->set_counted_failed_run(task.counted_failed_run);
                 out->set_checkpoint(task.checkpoint);
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -238,12 +238,16 @@
     // Not even as a sign of life: should the later incarnation be gone after
     // all, its runs are given up with their lease.
     if (is_superseded(server, report)) {
-        self.run.journal.event("report_superseded",
-                               {{"agent", agent},
-                                {"incarnation", report.server().incarnation()},
-                                {"current", server.state.incarnation()}});
+        if (!std::exchange(server.sends_superseded_reports, true))
+            self.run.journal.event(
+                "report_superseded",
+                {{"agent", agent},
+                 {"incarnation", report.server().incarnation()},
+                 {"followed", server.state.incarnation()}});
+        self.run.metrics.count("reports_superseded_total");
         return;
     }
+    server.sends_superseded_reports = false;
     server.failure_domain = report.failure_domain();
     if (!std::exchange(server.has_reported, true))
         self.last_new_server_at = self.run.now();
--- a/modules/fleet/src/owner_crashes.cpp
+++ b/modules/fleet/src/owner_crashes.cpp
@@ -59,13 +59,14 @@
 /// Whether the crash under a run has been counted, or is too old to tell.
 /// Reports of different agents may arrive in any order.
 bool is_counted(const task& task, int run) {
-    return task.crashed_runs.contains(run) ||
+    return std::ranges::binary_search(task.crashed_runs, run) ||
            (task.crashed_runs.size() == max_remembered_runs &&
-            run < *task.crashed_runs.begin());
+            run < task.crashed_runs.front());
 }
 
 void remember_run(task& task, int run) {
-    task.crashed_runs.insert(run);
+    task.crashed_runs.insert(std::ranges::upper_bound(task.crashed_runs, run),
+                             run);
     if (task.crashed_runs.size() > max_remembered_runs)
         task.crashed_runs.erase(task.crashed_runs.begin());
 }
--- a/modules/host/src/fleet_entry.cpp
+++ b/modules/host/src/fleet_entry.cpp
@@ -12,6 +12,8 @@
 /// How long a stopping entry continues to serve: until the platform has noticed
 /// that it is not ready, and callers have received their answers.
 constexpr duration drain_time{3500};
+/// The platform ends a process 6 s after SIGTERM. The rest is for sending the
+/// last responses.
 constexpr duration max_drain_time{5200};
 constexpr duration drain_check_period{50};
 
--- a/modules/net/src/async_http_server.cpp
+++ b/modules/net/src/async_http_server.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 /// How long a server that ends waits until its last responses have been sent.
-constexpr duration max_flush_time{300};
+constexpr duration max_flush_time{150};
 
 /// One request from its first line until its response has been sent.
 struct open_request {
@@ -32,13 +32,14 @@
 };
 
 served_response stopping_response() {
-    return {503, "the process is stopping; retry with another entry\n", {}};
+    return {
+        503, "the process is stopping; send the request to another one\n", {}};
 }
 
 served_response interrupted_response() {
     return {504,
             "the process ended before the outcome was known; send the same "
-            "request to another entry\n",
+            "request to another one\n",
             {}};
 }
 
--- a/tests/processes/refused_jobs.py
+++ b/tests/processes/refused_jobs.py
@@ -40,7 +40,7 @@
 STOP_INTERVAL_S = 8.0
 
 
-class StoreDoor:
+class StoreEndpoint:
     """The store's address for one entry. It can be closed: connections are
     refused, and idle ones end."""
 
@@ -112,11 +112,11 @@
 
 
 class Deployment(standins.Fleet):
-    """A fleet whose entries reach the store through a door each."""
+    """A fleet whose entries reach the store through a endpoint each."""
 
     def __init__(self, folder, **settings):
         super().__init__(folder, **settings)
-        self.doors = {n: StoreDoor(self, n)
+        self.endpoints = {n: StoreEndpoint(self, n)
                       for n in range(1, self.entry_count + 1)}
         self.rejects_calls = False  # The store answers 503.
         self.on_submission = None   # Handles the write of a submission.
@@ -139,11 +139,11 @@
                     f"store: 127.0.0.1:{self.store_port(n)}\n"))
 
     async def start(self, config):
-        for door in self.doors.values():
-            await door.open()
+        for endpoint in self.endpoints.values():
+            await endpoint.open()
         await super().start(config)
 
-    async def serve_store(self, door, method, path, query, body):
+    async def serve_store(self, endpoint, method, path, query, body):
         await asyncio.sleep(0.004)
         self.store.expire()
         if self.rejects_calls:
@@ -161,26 +161,26 @@
             if status == 200:
                 self.written[job] = now_ms()
                 self.record(f"store: submission of {job} is stored for "
-                            f"entry-{door.number}")
+                            f"entry-{endpoint.number}")
             return status, content
 
         if self.on_submission is None:
             return await store_submission()
-        return await self.on_submission(job, door, store_submission)
+        return await self.on_submission(job, endpoint, store_submission)
 
-    def close_doors(self, numbers, open_calls=True):
+    def close_endpoints(self, numbers, open_calls=True):
         self.record("store: ends connections of entries "
                     f"{sorted(numbers)} and accepts no more"
                     + ("" if open_calls else
                        "; open calls are carried out, without an answer"))
         for n in numbers:
-            self.doors[n].close(open_calls)
+            self.endpoints[n].close(open_calls)
 
-    async def open_doors(self):
+    async def open_endpoints(self):
         self.record("store: accepts all connections")
-        for door in self.doors.values():
-            if door.server is None:
-                await door.open()
+        for endpoint in self.endpoints.values():
+            if endpoint.server is None:
+                await endpoint.open()
 
     async def submit(self, number, job, deadline_ms=DEADLINE_MS,
                      connection=None):
@@ -269,7 +269,7 @@
     closed = asyncio.Event()
     arrivals = []
 
-    async def on_submission(job, door, store_submission):
+    async def on_submission(job, endpoint, store_submission):
         if closed.is_set():
             return await store_submission()
         arrivals.append(job)
@@ -289,33 +289,33 @@
     await asyncio.sleep(OUTAGE_S)
     deployment.on_submission = None
     deployment.rejects_calls = False
-    await deployment.open_doors()
+    await deployment.open_endpoints()
     await asyncio.gather(*attempts)
     await asyncio.sleep(START_S)
 
 
 async def store_ends(deployment):
     await end_store(deployment, [1, 2, 3] * 2,
-                    lambda: deployment.close_doors([1, 2, 3]))
+                    lambda: deployment.close_endpoints([1, 2, 3]))
 
 
 async def store_ends_after_open_calls(deployment):
     """Open calls are carried out to their end, without an answer."""
     await end_store(
         deployment, [1, 2, 3] * 2,
-        lambda: deployment.close_doors([1, 2, 3], open_calls=False))
+        lambda: deployment.close_endpoints([1, 2, 3], open_calls=False))
 
 
 async def one_entry_is_cut_off(deployment):
-    await end_store(deployment, [1] * 6, lambda: deployment.close_doors([1]))
+    await end_store(deployment, [1] * 6, lambda: deployment.close_endpoints([1]))
 
 
 async def store_ends_under_relayed_calls(deployment):
     """Entry 1 has no connection to the store and relays its calls."""
-    deployment.close_doors([1])
+    deployment.close_endpoints([1])
     await asyncio.sleep(1.5)
     await end_store(deployment, [1] * 6,
-                    lambda: deployment.close_doors([2, 3]))
+                    lambda: deployment.close_endpoints([2, 3]))
 
 
 async def store_rejects_calls(deployment):
@@ -365,7 +365,7 @@
     None stands for a store without disturbance."""
     writes = []
 
-    async def on_submission(job, door, store_submission):
+    async def on_submission(job, endpoint, store_submission):
         if delays_s is None:
             return await store_submission()
 
@@ -393,7 +393,7 @@
 
     sent_after_s = sent_after_s or SENT_AFTER_TERM_S
     results = await asyncio.gather(*(stop_repeatedly(number)
-                                     for number in deployment.doors))
+                                     for number in deployment.endpoints))
     deployment.on_submission = None
     if delays_s is not None and not writes:
         raise RuntimeError("no submission was being written")
@@ -446,8 +446,8 @@
             deployment.record(f"the case could not run: {e!r}")
             return NOT_RUN
         finally:
-            for door in deployment.doors.values():
-                door.close()
+            for endpoint in deployment.endpoints.values():
+                endpoint.close()
             for process in deployment.processes.values():
                 if process.poll() is None:
                     process.kill()
