--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -27,8 +27,8 @@
     /// them ran only tasks of its job then.
     int crashes = 0;
     int sole_crashes = 0;
-    std::vector<int>
-        crashed_runs; // The latest whose crash was counted, sorted.
+    /// The latest runs whose crash was counted, in order.
+    std::vector<int> crashed_runs;
     std::string agent;
     std::string incarnation;
     std::string checkpoint;
