Let a read of the store go on for as long as its data arrives

What users saw: an entry that had stood still for some seconds while jobs were accepted never got ready again over a narrow link (2 Mbit/s).

Cause: a watch had 2.2 s, whatever it had to bring. One that took longer was given up while it was arriving, and asked for again from the same revision. The same holds for catch_up(), which had one second, and for a page that needs more than the 16 s to which its time-out grows.

Change: the timeout of a read counts from the last data that arrived. A watch or catch_up() of which nothing arrives in time gets twice the time at the next try, as a page does. `store_read_timed_out` names the call, the revision and the timeout.

--- a/modules/fleet/include/celerylift/fleet/store.hpp
+++ b/modules/fleet/include/celerylift/fleet/store.hpp
@@ -104,7 +104,8 @@
 using reply_handler = std::function<void(const Reply&)>;
 
 /// The platform's key-value service. Each call gets exactly one reply, within
-/// `timeout`. Reads are linearizable.
+/// `timeout`; that of a range or a watch counts from the last data that has
+/// arrived. Reads are linearizable.
 class store {
 public:
     virtual ~store() = default;
--- a/modules/fleet/include/celerylift/fleet/watch_cache.hpp
+++ b/modules/fleet/include/celerylift/fleet/watch_cache.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celerylift/fleet/growing_timeout.hpp>
 #include <celerylift/fleet/runtime.hpp>
 #include <celerylift/fleet/store.hpp>
 
@@ -49,6 +50,9 @@
     void wait_for_changes();
     void handle_changes(const watch_reply& reply);
     void apply_changes(const watch_reply& reply);
+    /// Gives the next call of its kind more time if one has timed out.
+    void grow_if_timed_out(growing_timeout& timeout, const char* call,
+                           time_point sent_at, store_status status);
     void retry(void (watch_cache::*step)());
     void apply(const store_change& change);
 
@@ -63,7 +67,9 @@
     std::int64_t read_as_of_ = 0;
     std::string last_read_key_;
     std::map<std::string, std::int64_t> keys_read_;
-    duration read_timeout_;
+    growing_timeout read_timeout_;
+    growing_timeout watch_timeout_;
+    growing_timeout catch_up_timeout_;
     bool loaded_ = false;
     bool catching_up_ = false;
     bool reachable_ = true;
--- a/modules/fleet/src/watch_cache.cpp
+++ b/modules/fleet/src/watch_cache.cpp
@@ -1,21 +1,16 @@
 #include <celerylift/fleet/watch_cache.hpp>
 
-#include <algorithm>
 #include <utility>
 
 namespace celerylift::fleet {
 
 namespace {
 
-/// A page has up to a megabyte, which takes seconds on a narrow link, while a
-/// dead connection should be noticed soon: a page that does not arrive in time
-/// is read again with twice the time.
 constexpr duration min_read_timeout{1000};
-constexpr duration max_read_timeout{16'000};
-/// A watch that has not answered by its timeout is abandoned. The times are
-/// short because nothing else shows that its connection is dead.
+/// The times are short because nothing else shows that the connection of a
+/// watch is dead.
 constexpr duration max_watch_wait{1500};
-constexpr duration watch_timeout{2200};
+constexpr duration min_watch_timeout{2200};
 /// For a watch that should return at once; the interface accepts no less.
 constexpr duration min_watch_wait{1};
 /// Between two calls to a store that refuses or does not answer.
@@ -28,7 +23,8 @@
                          std::function<void()> on_progress)
     : run_(run), store_(source), prefix_(std::move(prefix)),
       batch_interval_(batch_interval), on_change_(std::move(on_change)),
-      on_progress_(std::move(on_progress)), read_timeout_(min_read_timeout) {}
+      on_progress_(std::move(on_progress)), read_timeout_(min_read_timeout),
+      watch_timeout_(min_watch_timeout), catch_up_timeout_(min_read_timeout) {}
 
 void watch_cache::start() {
     read_as_of_ = 0;
@@ -47,14 +43,30 @@
                      [this, step](time_point) { (this->*step)(); });
 }
 
+void watch_cache::grow_if_timed_out(growing_timeout& timeout, const char* call,
+                                    time_point sent_at, store_status status) {
+    if (status != store_status::unknown ||
+        run_.now() < sent_at + timeout.value())
+        return;
+    run_.journal.event("store_read_timed_out",
+                       {{"prefix", prefix_},
+                        {"call", call},
+                        {"as_of", as_of_},
+                        {"timeout_ms", timeout.value().count()}});
+    run_.metrics.count("store_reads_timed_out_total");
+    timeout.grow();
+}
+
 void watch_cache::read_page() {
-    store_.range(prefix_, last_read_key_, read_timeout_,
-                 [this](const range_reply& page) { handle_page(page); });
+    store_.range(prefix_, last_read_key_, read_timeout_.value(),
+                 [this, sent_at = run_.now()](const range_reply& page) {
+                     grow_if_timed_out(read_timeout_, "page", sent_at,
+                                       page.status);
+                     handle_page(page);
+                 });
 }
 
 void watch_cache::handle_page(const range_reply& page) {
-    if (page.status == store_status::unknown)
-        read_timeout_ = std::min(read_timeout_ * 2, max_read_timeout);
     if (page.status != store_status::ok)
         return retry(&watch_cache::read_page);
     last_answer_ = run_.now();
@@ -79,7 +91,7 @@
     for (const auto& key : removed_keys)
         apply({{key, "", read_as_of_}, true});
     keys_read_.clear();
-    read_timeout_ = min_read_timeout;
+    read_timeout_.reset();
     as_of_ = std::max(as_of_, read_as_of_);
     loaded_ = true;
     run_.journal.event(
@@ -92,8 +104,12 @@
 }
 
 void watch_cache::wait_for_changes() {
-    store_.watch(prefix_, as_of_, max_watch_wait, watch_timeout,
-                 [this](const watch_reply& reply) { handle_changes(reply); });
+    store_.watch(prefix_, as_of_, max_watch_wait, watch_timeout_.value(),
+                 [this, sent_at = run_.now()](const watch_reply& reply) {
+                     grow_if_timed_out(watch_timeout_, "watch", sent_at,
+                                       reply.status);
+                     handle_changes(reply);
+                 });
 }
 
 void watch_cache::handle_changes(const watch_reply& reply) {
@@ -104,6 +120,7 @@
     }
     if (reply.status != store_status::ok)
         return retry(&watch_cache::wait_for_changes);
+    watch_timeout_.shrink();
     last_answer_ = run_.now();
     if (!reachable_)
         run_.journal.event("store_regained",
@@ -127,11 +144,15 @@
 void watch_cache::catch_up() {
     if (!loaded_ || std::exchange(catching_up_, true))
         return;
-    store_.watch(prefix_, as_of_, min_watch_wait, min_read_timeout,
-                 [this](const watch_reply& reply) {
+    store_.watch(prefix_, as_of_, min_watch_wait, catch_up_timeout_.value(),
+                 [this, sent_at = run_.now()](const watch_reply& reply) {
                      catching_up_ = false;
-                     if (reply.status == store_status::ok)
-                         apply_changes(reply);
+                     grow_if_timed_out(catch_up_timeout_, "catch_up", sent_at,
+                                       reply.status);
+                     if (reply.status != store_status::ok)
+                         return;
+                     catch_up_timeout_.shrink();
+                     apply_changes(reply);
                  });
 }
 
--- a/modules/net/include/celerylift/net/http_client.hpp
+++ b/modules/net/include/celerylift/net/http_client.hpp
@@ -22,6 +22,9 @@
     std::map<std::string, std::string> headers;
     std::string body;
     duration timeout{1000};
+    /// The timeout counts anew whenever a part of the response arrives. For
+    /// responses without a fixed size: how long they take depends on the link.
+    bool extend_while_receiving = false;
     /// Opens a new connection, for instance because the existing one may be
     /// broken.
     bool fresh_connection = false;
--- a/modules/net/src/http_client.cpp
+++ b/modules/net/src/http_client.cpp
@@ -25,12 +25,6 @@
     return size > 0;
 }
 
-std::size_t append_body(char* data, std::size_t size, std::size_t count,
-                        void* out) {
-    static_cast<std::string*>(out)->append(data, size * count);
-    return size * count;
-}
-
 /// One call and the part of its response that has arrived.
 struct transfer {
     client_request request;
@@ -38,10 +32,20 @@
     client_response response;
     curl_slist* headers = nullptr;
     std::size_t sent = 0; // Bytes of the body.
+    time_point received_at = monotonic_now();
+    long stall_timer = -1;
 
     ~transfer() { curl_slist_free_all(headers); }
 };
 
+std::size_t append_body(char* data, std::size_t size, std::size_t count,
+                        void* call) {
+    auto& t = *static_cast<transfer*>(call);
+    t.response.body.append(data, size * count);
+    t.received_at = monotonic_now();
+    return size * count;
+}
+
 std::size_t read_body(char* out, std::size_t size, std::size_t count,
                       void* call) {
     auto& t = *static_cast<transfer*>(call);
@@ -76,6 +80,7 @@
 
     ~multi() override {
         for (auto& [easy, call] : transfers_) {
+            cancel_stall_timer(*call);
             curl_multi_remove_handle(handle_, easy);
             curl_easy_cleanup(easy);
         }
@@ -93,7 +98,9 @@
     int handle_output(ACE_HANDLE handle) override {
         return run_socket_action(handle, CURL_CSELECT_OUT);
     }
-    int handle_timeout(const ACE_Time_Value&, const void*) override {
+    int handle_timeout(const ACE_Time_Value&, const void* easy) override {
+        if (easy)
+            return handle_stall_timer(const_cast<CURL*>(easy));
         timer_ = -1;
         return run_socket_action(CURL_SOCKET_TIMEOUT, 0);
     }
@@ -108,6 +115,10 @@
     }
 
     void finish_transfers();
+    std::unique_ptr<transfer> take_transfer(CURL* easy);
+    void start_stall_timer(CURL* easy, transfer& call, duration delay);
+    void cancel_stall_timer(transfer& call);
+    int handle_stall_timer(CURL* easy);
     void set_interest(curl_socket_t socket, int what);
     void set_timer(long after_ms);
 
@@ -169,10 +180,13 @@
     curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, connect_timeout_ms);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                     static_cast<long>(request.timeout.count()));
+    if (request.extend_while_receiving)
+        start_stall_timer(easy, *call, request.timeout);
+    else
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                         static_cast<long>(request.timeout.count()));
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append_body);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call->response.body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, call.get());
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
     if (request.fresh_connection)
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
@@ -196,23 +210,56 @@
             continue;
         auto* easy = message->easy_handle;
         const auto code = message->data.result;
-        auto call = std::move(transfers_.at(easy));
-        transfers_.erase(easy);
+        auto& response = transfers_.at(easy)->response;
         long status = 0;
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-        call->response.status = static_cast<int>(status);
+        response.status = static_cast<int>(status);
         if (code == CURLE_OK)
-            call->response.result = call_result::answered;
+            response.result = call_result::answered;
         else if (code == CURLE_COULDNT_CONNECT && !has_sent_bytes(easy))
-            call->response.result = call_result::not_sent;
-        curl_multi_remove_handle(handle_, easy);
-        curl_easy_cleanup(easy);
-        ended.push_back(std::move(call));
+            response.result = call_result::not_sent;
+        ended.push_back(take_transfer(easy));
     }
     for (const auto& call : ended)
         call->done(call->response);
 }
 
+std::unique_ptr<transfer> http_client::multi::take_transfer(CURL* easy) {
+    auto call = std::move(transfers_.at(easy));
+    transfers_.erase(easy);
+    cancel_stall_timer(*call);
+    curl_multi_remove_handle(handle_, easy);
+    curl_easy_cleanup(easy);
+    return call;
+}
+
+void http_client::multi::start_stall_timer(CURL* easy, transfer& call,
+                                           duration delay) {
+    const ACE_Time_Value after(delay.count() / 1000,
+                               delay.count() % 1000 * 1000);
+    call.stall_timer = loop_.ace_reactor().schedule_timer(this, easy, after);
+}
+
+void http_client::multi::cancel_stall_timer(transfer& call) {
+    if (call.stall_timer >= 0)
+        loop_.ace_reactor().cancel_timer(call.stall_timer);
+    call.stall_timer = -1;
+}
+
+int http_client::multi::handle_stall_timer(CURL* easy) {
+    auto& call = *transfers_.at(easy);
+    call.stall_timer = -1;
+    const auto left = call.received_at + call.request.timeout - monotonic_now();
+    if (left > duration{0}) {
+        start_stall_timer(easy, call, left);
+        return 0;
+    }
+    const auto ended = take_transfer(easy);
+    ended->response = {};
+    ended->done(ended->response);
+    return 0;
+}
+
 http_client::http_client(control_loop& loop)
     : multi_(std::make_unique<multi>(loop)) {}
 
--- a/tests/fleet/store_outage_test.cpp
+++ b/tests/fleet/store_outage_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <fmt/format.h>
 #include <optional>
 
 namespace celerylift::test {
@@ -97,6 +98,22 @@
                 fleet::answer_kind::shown);
 }
 
+// A watch had a fixed time, whatever it had to bring. Over a narrow link an
+// entry that had stood still asked for the same changes again for ever.
+TEST(watch_over_a_narrow_link, brings_what_an_entry_has_missed) {
+    virtual_fleet fleet;
+    const int paused = fleet.owner_entry() % 3 + 1;
+    const int other = paused % 3 + 1;
+    fleet.store.job_watch_times[fmt::format("entry-{}", paused)] =
+        duration{4000};
+    fleet.pause_entry(paused, duration{5000});
+    fleet.submit(make_job("00000000000000aa", "ms=60000", 1, small), other);
+    fleet.sim.run_for(duration{5000});
+    EXPECT_TRUE(fleet.wait_for_state("00000000000000aa", fleet::JOB_RUNNING,
+                                     duration{20'000}, paused));
+    EXPECT_TRUE(fleet.entry(paused).is_ready());
+}
+
 // Calls that were still open when an entry ended were told that they had been
 // rejected, whatever had become of their writes.
 TEST(submission_to_a_stopping_entry, is_answered_as_unknown_before_it_ends) {
--- a/tests/fleet/virtual_store.cpp
+++ b/tests/fleet/virtual_store.cpp
@@ -1,5 +1,7 @@
 #include "virtual_store.hpp"
 
+#include <celerylift/fleet/names.hpp>
+
 #include <memory>
 
 namespace celerylift::test {
@@ -23,6 +25,20 @@
     void
     transact(const fleet::store_transaction& transaction, duration timeout,
              fleet::reply_handler<fleet::transaction_reply> done) override {
+        const auto time = upload_time(transaction);
+        if (time > timeout)
+            return reply_after(timeout, std::move(done),
+                               fleet::transaction_reply{});
+        if (time > duration{0})
+            return store_.sim_.after(
+                time, liveness_, [this, transaction, timeout, time, done] {
+                    transact_now(transaction, timeout - time, done);
+                });
+        transact_now(transaction, timeout, std::move(done));
+    }
+    void transact_now(const fleet::store_transaction& transaction,
+                      duration timeout,
+                      fleet::reply_handler<fleet::transaction_reply> done) {
         call<fleet::transaction_reply>(true, timeout, std::move(done),
                                        [&store = store_, transaction] {
                                            return store.transact(transaction);
@@ -45,7 +61,9 @@
     void range(const std::string& prefix, const std::string& after,
                duration timeout,
                fleet::reply_handler<fleet::range_reply> done) override {
-        if (store_.page_time > timeout)
+        if (store_.page_time > timeout ||
+            (fault() == store_fault::no_job_pages &&
+             prefix == fleet::job_prefix))
             return reply_after(timeout, std::move(done), fleet::range_reply{});
         if (store_.page_time > duration{0}) {
             auto& sim = store_.sim_;
@@ -86,6 +104,16 @@
     }
 
 private:
+    duration upload_time(const fleet::store_transaction& transaction) const {
+        if (store_.written_bytes_per_s == 0)
+            return duration{0};
+        std::size_t bytes = 0;
+        for (const auto& put : transaction.puts)
+            bytes += put.value.size();
+        return duration{static_cast<std::int64_t>(bytes) * 1000 /
+                        store_.written_bytes_per_s};
+    }
+
     store_fault fault() const {
         const auto it = store_.client_faults.find(name_);
         return it == store_.client_faults.end() ? store_.fault : it->second;
@@ -147,12 +175,26 @@
             }
             if (store_.delay_watches && now < wait_until)
                 return poll(prefix, after, wait_until, timeout_at, done);
-            if (!found->changes.empty() || now >= wait_until)
+            if (!found->changes.empty())
+                return deliver(prefix, *found, timeout_at, done);
+            if (now >= wait_until)
                 return done(*found);
             poll(prefix, after, wait_until, timeout_at, done);
         });
     }
 
+    void deliver(const std::string& prefix, const fleet::watch_reply& changes,
+                 time_point timeout_at,
+                 const fleet::reply_handler<fleet::watch_reply>& done) {
+        const auto it = store_.job_watch_times.find(name_);
+        if (it == store_.job_watch_times.end() || prefix != fleet::job_prefix)
+            return done(changes);
+        const auto left = timeout_at - store_.sim_.now;
+        const bool arrives = it->second <= left;
+        reply_after(arrives ? it->second : left, done,
+                    arrives ? changes : fleet::watch_reply{});
+    }
+
     virtual_store& store_;
     std::string name_;
     std::weak_ptr<int> liveness_;
--- a/tests/fleet/virtual_store.hpp
+++ b/tests/fleet/virtual_store.hpp
@@ -18,6 +18,7 @@
     busy,           // Calls are refused and have no effect.
     lost_replies,   // Writes take effect, and their replies are lost.
     delayed_writes, // Writes take effect three seconds later, and get no reply.
+    no_job_pages,   // No page of the jobs arrives.
 };
 
 /// A fake of the platform's store in virtual time.
@@ -31,6 +32,11 @@
     bool delay_watches = false;
     duration one_way_delay{2};
     duration page_time{0}; // How long a page of a range takes to arrive.
+    /// How long changes of jobs take to arrive on a watch, by client name.
+    std::map<std::string, duration> job_watch_times;
+    /// Bandwidth of writes, 0 where it is not limited. A write that takes
+    /// longer than its timeout has no effect.
+    std::int64_t written_bytes_per_s = 0;
     int watch_calls = 0;
 
     /// Creates the client of one process. Replies are dropped once that process
