Leave the cell to an entry that can read the jobs

Cause: an entry claimed the cell as soon as it knew that there was no owner, whether or not it had read the jobs, and kept it until it had.

Change: an entry claims the cell only once it has read the jobs. One that has gained it and does not reach its own first write within 1.5 s hands it on, and stays behind others for as long; the time doubles with each such takeover, so that entries that are all slow get to work too. `takeover_abandoned` is logged.

--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celerylift/fleet/config.hpp>
+#include <celerylift/fleet/growing_timeout.hpp>
 #include <celerylift/fleet/job_api.hpp>
 #include <celerylift/fleet/leader_preference.hpp>
 #include <celerylift/fleet/leadership.hpp>
@@ -12,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,6 +30,10 @@
     scheduling_policy policy{};
 };
 
+/// An owner that has not read all jobs within this time leaves the cell to an
+/// entry that may have read them, before the runs lose their grants.
+inline constexpr duration min_takeover_timeout{1500};
+
 /// An entry without its sockets: follows the store, serves callers through its
 /// job API and, while it owns the cell, schedules for all agents.
 class entry_node {
@@ -64,6 +70,8 @@
     void handle_config_change(const store_change& change);
     void update_leadership();
     void try_activate();
+    void abandon_late_takeover();
+    std::optional<duration> own_claim_delay() const;
     void read_config();
     void tick();
     void notify_entries(const std::vector<store_item>& items);
@@ -92,6 +100,10 @@
     EntryRecord owner_record_;
     std::int64_t owner_revision_ = 0;
     std::int64_t gained_epoch_ = 0; // Active once the job cache reaches it.
+    time_point gained_at_{};
+    /// This entry could not take over and leaves the cell to others until then.
+    time_point claims_again_at_{};
+    growing_timeout takeover_timeout_{min_takeover_timeout};
     struct known_agent {
         time_point last_message_at{};
         std::uint64_t entries_version = 0;
--- a/modules/fleet/include/celerylift/fleet/leadership.hpp
+++ b/modules/fleet/include/celerylift/fleet/leadership.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace celerylift::fleet {
@@ -23,7 +24,8 @@
         /// Called when it no longer is the owner, or cannot know.
         std::function<void()> lost;
         /// How long this entry waits before it claims a cell without an owner.
-        std::function<duration()> claim_delay;
+        /// Nothing if it could not take over now.
+        std::function<std::optional<duration>()> claim_delay;
     };
 
     leadership(runtime& run, store& records, EntryRecord self,
@@ -40,9 +42,9 @@
     /// revision 0 if there is none.
     void on_owner_changed(const EntryRecord& owner, std::int64_t revision);
 
-    /// Releases the cell to an entry with a higher capacity. This entry stops
-    /// deciding at once, whatever the outcome of the call to the store.
-    void hand_over();
+    /// Releases the cell to another entry. This entry stops deciding at once,
+    /// whatever the outcome of the call to the store.
+    void hand_over(const char* reason);
 
     /// A registration of this entry was removed; the entry registers again.
     void on_own_entry_removed();
@@ -61,6 +63,7 @@
     void handle_renewal(const lease_reply& reply, time_point sent,
                         std::int64_t lease);
     void tick();
+    bool should_claim() const;
     void claim();
     void handle_claim_reply(const transaction_reply& reply);
     void abandon_lease(const char* reason);
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -61,13 +61,14 @@
       leadership_(run, records_, settings_.self,
                   {[this](std::int64_t epoch) {
                        gained_epoch_ = epoch;
+                       gained_at_ = run_.now();
                        try_activate();
                    },
                    [this] {
                        gained_epoch_ = 0;
                        deactivate(owner_);
                    },
-                   [this] { return claim_delay(entries_, settings_.self); }}),
+                   [this] { return own_claim_delay(); }}),
       owner_{run,
              records_,
              [this] { return leadership_.is_valid(); },
@@ -134,6 +135,7 @@
 void entry_node::tick() {
     on_tick(owner_);
     try_activate();
+    abandon_late_takeover();
     std::erase_if(agents_, [this](const auto& a) {
         return run_.now() > a.second.last_message_at + agent_retention;
     });
@@ -142,10 +144,30 @@
         run_.now() > entries_changed_at_ + membership_settle_time &&
         should_hand_over(entries_, settings_.self)) {
         last_handover_at_ = run_.now();
-        leadership_.hand_over();
+        leadership_.hand_over("another entry has a higher leader capacity");
     }
 }
 
+std::optional<duration> entry_node::own_claim_delay() const {
+    if (!job_cache_.is_loaded() || run_.now() < claims_again_at_)
+        return std::nullopt;
+    return claim_delay(entries_, settings_.self);
+}
+
+void entry_node::abandon_late_takeover() {
+    if (gained_epoch_ == 0 || owner_.epoch == gained_epoch_ ||
+        run_.now() < gained_at_ + takeover_timeout_.value() ||
+        entries_.size() < 2)
+        return;
+    run_.journal.event("takeover_abandoned",
+                       {{"epoch", gained_epoch_},
+                        {"jobs_as_of", job_cache_.as_of()},
+                        {"waited_ms", (run_.now() - gained_at_).count()}});
+    claims_again_at_ = run_.now() + takeover_timeout_.value();
+    takeover_timeout_.grow();
+    leadership_.hand_over("the jobs could not be read in time");
+}
+
 bool entry_node::is_ready() const {
     return !stopping_ && config_ && job_cache_.is_loaded() &&
            run_.now() < job_cache_.last_answer() + store_answer_timeout;
@@ -224,6 +246,7 @@
         if (run_.now() < known.last_message_at + agent_active_window)
             expected.insert(agent);
     activate(owner_, gained_epoch_, job_index_, expected);
+    takeover_timeout_.reset();
     send_welcome_to_all();
 }
 
--- a/modules/fleet/src/leadership.cpp
+++ b/modules/fleet/src/leadership.cpp
@@ -43,11 +43,17 @@
         renew();
     if (!registered_ && !registering_)
         register_entry();
-    if (owner_seen_ && owner_revision_ == 0 && epoch_ == 0 && !claiming_ &&
-        run_.now() >= unowned_since_ + callbacks_.claim_delay())
+    if (should_claim())
         claim();
 }
 
+bool leadership::should_claim() const {
+    if (!owner_seen_ || owner_revision_ != 0 || epoch_ != 0 || claiming_)
+        return false;
+    const auto delay = callbacks_.claim_delay();
+    return delay && run_.now() >= unowned_since_ + *delay;
+}
+
 void leadership::request_lease() {
     if (lease_requested_)
         return;
@@ -174,7 +180,7 @@
     tick();
 }
 
-void leadership::hand_over() {
+void leadership::hand_over(const char* reason) {
     if (epoch_ == 0)
         return;
     handed_over_epoch_ = epoch_;
@@ -182,7 +188,7 @@
     write.expected.push_back({std::string(owner_key), epoch_});
     write.removals.emplace_back(owner_key);
     // This entry decides nothing from here on, whether or not a reply arrives.
-    resign("another entry has a higher leader capacity");
+    resign(reason);
     store_.transact(write, call_timeout,
                     [this, lease = lease_](const transaction_reply& reply) {
                         if (reply.status != store_status::ok && lease == lease_)
--- a/tests/fleet/store_outage_test.cpp
+++ b/tests/fleet/store_outage_test.cpp
@@ -114,6 +114,38 @@
     EXPECT_TRUE(fleet.entry(paused).is_ready());
 }
 
+// An entry that could not read what had changed kept the ownership, and nothing
+// was decided until it could.
+TEST(owner_over_a_narrow_link, hands_on_to_an_entry_that_has_read_the_jobs) {
+    virtual_fleet fleet;
+    const int old_owner = fleet.owner_entry();
+    // The first to claim the cell once its owner is gone.
+    const int successor = old_owner == 1 ? 2 : 1;
+    fleet.store.job_watch_times[fmt::format("entry-{}", successor)] =
+        duration{60'000};
+    fleet.kill_entry(old_owner);
+    const int third = 6 - old_owner - successor;
+    fleet.submit_async(make_job("00000000000000aa", "ms=100", 1, small), third,
+                       "kwela-key", "/normal/");
+    EXPECT_TRUE(fleet.wait_for_state("00000000000000aa", fleet::JOB_COMPLETED,
+                                     duration{12'000}, third));
+    EXPECT_EQ(fleet.owner_entry(), third);
+}
+
+// An entry claimed the cell before it had read the jobs, and kept it.
+TEST(restart_of_all_entries, is_led_by_an_entry_that_can_read_the_jobs) {
+    virtual_fleet fleet;
+    fleet.submit(make_job("00000000000000aa", "ms=9000", 1, small), 2);
+    for (int n = 1; n <= 3; ++n)
+        fleet.kill_entry(n);
+    fleet.store.client_faults["entry-1"] = store_fault::no_job_pages;
+    for (int n = 1; n <= 3; ++n)
+        fleet.start_entry(n);
+    EXPECT_TRUE(fleet.wait_for_state("00000000000000aa", fleet::JOB_COMPLETED,
+                                     duration{14'000}, 2));
+    EXPECT_NE(fleet.owner_entry(), 1);
+}
+
 // Calls that were still open when an entry ended were told that they had been
 // rejected, whatever had become of their writes.
 TEST(submission_to_a_stopping_entry, is_answered_as_unknown_before_it_ends) {
