Give the owner's writes the time that a narrow link needs

What users would see: a job with many tasks that never starts, since its record is never stored (LOST).

Cause: a write of records had one second, whatever its size: up to fifteen records, four writes at a time. One that takes longer is cut off and sent again for ever, also through another entry, and starts wait for their record.

Change: the timeout doubles when a write has timed out, up to 16 s. At most 64 KB of records are in flight, unless one alone is larger, so that a renewal of the owner's lease is not held up behind them. `write_failed` names the bytes and the timeout.

With answers after 4 ms, as the pages of the platform state, 64 KB in flight allow 16 MB/s.

--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celerylift/fleet/config.hpp>
+#include <celerylift/fleet/growing_timeout.hpp>
 #include <celerylift/fleet/job_index.hpp>
 #include <celerylift/fleet/jobs.hpp>
 #include <celerylift/fleet/placement.hpp>
@@ -11,6 +12,7 @@
 
 #include <fleet.pb.h>
 
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <map>
@@ -132,6 +134,8 @@
     std::set<std::string> waiting_jobs{};
     std::set<std::string> unwritten_jobs{};
     int writes_in_flight = 0;
+    std::size_t bytes_in_flight = 0; // Of records that are being written.
+    growing_timeout write_timeout{duration{1000}};
     time_point next_write_at{};
 
     bool pass_scheduled = false;
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -10,10 +10,13 @@
 
 namespace {
 
-constexpr duration write_timeout{1000};
 constexpr duration retry_pause{100};
 constexpr int max_writes_in_flight = 4;
 
+/// Records in flight together, unless a single one is larger. More would hold
+/// up the renewal of the owner's lease on a narrow link.
+constexpr std::size_t max_bytes_in_flight = 64 * 1024;
+
 /// Each job takes one condition and one value. The owner's key takes one more
 /// condition.
 constexpr std::size_t max_jobs_per_write = (max_transaction_entries - 1) / 2;
@@ -25,11 +28,18 @@
     std::string value;
 };
 
+std::size_t size_of(const std::vector<job_write>& batch) {
+    std::size_t bytes = 0;
+    for (const auto& written : batch)
+        bytes += written.value.size();
+    return bytes;
+}
+
 std::vector<job_write> collect_changed_jobs(owner& self) {
     std::vector<job_write> batch;
     for (auto it = self.unwritten_jobs.begin();
-         it != self.unwritten_jobs.end() &&
-         batch.size() < max_jobs_per_write;) {
+         it != self.unwritten_jobs.end() && batch.size() < max_jobs_per_write &&
+         self.bytes_in_flight + size_of(batch) < max_bytes_in_flight;) {
         const auto found = self.jobs.find(*it);
         if (found != self.jobs.end() && found->second.write_in_flight) {
             ++it;
@@ -106,6 +116,14 @@
     self.on_records_written(items);
 }
 
+void adapt_write_timeout(owner& self, time_point sent_at, store_status status) {
+    if (status == store_status::ok)
+        self.write_timeout.shrink();
+    else if (status == store_status::unknown &&
+             self.run.now() >= sent_at + self.write_timeout.value())
+        self.write_timeout.grow();
+}
+
 void handle_write_reply(owner& self, const std::vector<job_write>& batch,
                         const transaction_reply& reply) {
     for (const auto& written : batch)
@@ -119,10 +137,12 @@
         apply_revisions(self, batch, reply.current);
     if (reply.status != store_status::ok) {
         self.next_write_at = self.run.now() + retry_pause;
-        self.run.journal.event("write_failed",
-                               {{"jobs", batch.size()},
-                                {"status", static_cast<int>(reply.status)},
-                                {"epoch", self.epoch}});
+        self.run.journal.event(
+            "write_failed", {{"jobs", batch.size()},
+                             {"bytes", size_of(batch)},
+                             {"status", static_cast<int>(reply.status)},
+                             {"timeout_ms", self.write_timeout.value().count()},
+                             {"epoch", self.epoch}});
         self.run.metrics.count("owner_writes_failed_total");
     }
     process_changes(self);
@@ -151,10 +171,14 @@
         if (batch.empty())
             return;
         ++self.writes_in_flight;
+        self.bytes_in_flight += size_of(batch);
         self.records.transact(
-            transaction_for(self, batch), write_timeout,
-            [&self, batch, epoch = self.epoch](const transaction_reply& reply) {
+            transaction_for(self, batch), self.write_timeout.value(),
+            [&self, batch, epoch = self.epoch,
+             sent_at = self.run.now()](const transaction_reply& reply) {
                 --self.writes_in_flight;
+                self.bytes_in_flight -= size_of(batch);
+                adapt_write_timeout(self, sent_at, reply.status);
                 if (self.epoch == epoch)
                     handle_write_reply(self, batch, reply);
             });
--- a/tests/fleet/store_outage_test.cpp
+++ b/tests/fleet/store_outage_test.cpp
@@ -146,6 +146,19 @@
     EXPECT_NE(fleet.owner_entry(), 1);
 }
 
+// A write of records had a fixed second. Over a narrow link the record of a job
+// with many tasks was sent again for ever, and none of them started.
+TEST(owner_over_a_narrow_link, stores_the_record_of_a_job_with_many_tasks) {
+    virtual_fleet fleet;
+    fleet.store.written_bytes_per_s = 4000;
+    fleet.submit(make_job("00000000000000aa", "ms=200", 200, {100, 100, 0}));
+    EXPECT_TRUE(fleet.wait_for_state("00000000000000aa", fleet::JOB_COMPLETED,
+                                     duration{40'000}));
+    EXPECT_EQ(fleet.history.starts, 200);
+    for (const auto& violation : fleet.history.violations)
+        ADD_FAILURE() << violation;
+}
+
 // Calls that were still open when an entry ended were told that they had been
 // rejected, whatever had become of their writes.
 TEST(submission_to_a_stopping_entry, is_answered_as_unknown_before_it_ends) {
