--- a/tests/fleet/virtual_server.cpp
+++ b/tests/fleet/virtual_server.cpp
@@ -401,6 +401,12 @@
     ++incarnation_;
 }
 
+void virtual_server::fail_runs() {
+    const auto copy = runs_;
+    for (const auto& [key, active] : copy)
+        end(key, fleet::RUN_FAILED);
+}
+
 void virtual_server::crash_for(duration outage) {
     crash();
     sim_.after(outage, [this, incarnation = incarnation_] {
--- a/tests/fleet/virtual_server.hpp
+++ b/tests/fleet/virtual_server.hpp
@@ -74,6 +74,9 @@
     void crash_for(duration outage);
     bool is_up() const { return up_; }
 
+    /// Ends all runs as failed.
+    void fail_runs();
+
     /// A reduced capacity is announced at once, and tasks that exceed it are
     /// violations only once the fleet has had the time to notice.
     void set_capacity(const fleet::resources& capacity);
