Count no report as a sign of life of a server that it does not name

What users saw: a job whose backend server is gone for good stayed `running`, and later jobs were assigned to that server, for as long as its agent started again every few seconds (LOST).

Cause: an agent that has started again follows no server, and its reports name none. The owner took each as a sign of life of the server that it knew before, extended the grant of its runs, and placed work there. That nothing runs there the agent said only after the longest lease, counted anew from each start.

Ruled out: the owner's own count of grants (it gives the runs up if no report comes at all), and the agent's account of the lease (it never reached the server).

No work is placed there until the server is named again. An agent that is back in time names the server before its lease ends, so that nothing else changes. `server_not_named` tells when that begins, and when the grant ends.

The new test fails before this change.

--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -62,6 +62,11 @@
     std::string failure_domain;
     ServerState state;
     bool has_reported = false; // Since this owner became active.
+    /// Whether the agent's last report names the backend server. An agent that
+    /// has started again names none until the server has answered it.
+    bool is_named = false;
+    /// Of the last report that names the server. Others are no sign of life of
+    /// it.
     time_point last_report_at{};
     std::int64_t answered_sent_at_ms = 0;
     /// The last report was about an earlier incarnation, and was ignored.
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -112,6 +112,26 @@
     }
 }
 
+void apply_sign_of_life(owner& self, server& server,
+                        const AgentReport& report) {
+    const bool names_server = !report.server().incarnation().empty();
+    const bool was_named = std::exchange(server.is_named, names_server);
+    if (names_server) {
+        server.last_report_at = self.run.now();
+        server.answered_sent_at_ms = report.sent_at_ms();
+        self.expected_agents.erase(server.agent);
+    } else if (was_named) {
+        self.run.journal.event(
+            "server_not_named",
+            {{"agent", server.agent},
+             {"incarnation", server.state.incarnation()},
+             {"assigned_tasks", server.assigned.size()},
+             {"grant_ends_in_ms",
+              (server.granted_until - self.run.now()).count()}});
+        self.run.metrics.count("servers_not_named_total");
+    }
+}
+
 void apply_ends(owner& self, server& server, const AgentReport& report) {
     for (const auto& end : report.ended()) {
         if (end.number() <= server.applied_up_to)
@@ -164,7 +184,8 @@
                                : server.granted_until;
         if (self.run.now() <= until || server.assigned.empty())
             continue;
-        lose_all_runs(self, server, "no report from its agent for too long");
+        lose_all_runs(self, server,
+                      "no report of its backend server for too long");
     }
 }
 
@@ -251,14 +272,7 @@
     server.failure_domain = report.failure_domain();
     if (!std::exchange(server.has_reported, true))
         self.last_new_server_at = self.run.now();
-    server.last_report_at = self.run.now();
-    server.answered_sent_at_ms = report.sent_at_ms();
-    if (!report.server().incarnation().empty())
-        self.expected_agents.erase(agent);
-    if (report.has_no_server()) {
-        server.state.Clear(); // No further work is assigned there.
-        lose_all_runs(self, server, "its agent has found no backend server");
-    }
+    apply_sign_of_life(self, server, report);
     apply_crashes(self, server, report);
     apply_server_state(self, server, report);
     if (report.server().incarnation() == server.state.incarnation() &&
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -52,8 +52,8 @@
 }
 
 bool is_usable(const server& server, time_point now) {
-    return server.has_reported && !server.state.incarnation().empty() &&
-           !server.state.draining() && !server.state.departed() &&
+    return server.is_named && !server.state.draining() &&
+           !server.state.departed() &&
            now <= server.last_report_at + max_report_age;
 }
 
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -233,7 +233,7 @@
     orders.set_noted_end(server.acknowledged_up_to);
     orders.mutable_recorded_crashes()->Assign(server.recorded_crashes.begin(),
                                               server.recorded_crashes.end());
-    if (server.has_reported && self.is_valid()) {
+    if (server.is_named && self.is_valid()) {
         orders.set_answered_sent_at_ms(server.answered_sent_at_ms);
         orders.set_grant_ms(grant_duration.count());
         server.granted_until =
--- a/tests/fleet/reported_failures_test.cpp
+++ b/tests/fleet/reported_failures_test.cpp
@@ -214,6 +214,37 @@
 
 INSTANTIATE_TEST_SUITE_P(after_a_heartbeat, ended_server, ::testing::Bool());
 
+// Each start of the agent gave the server another full lease, and its reports,
+// which named no server, kept the grant alive. The server got new work as well.
+TEST(server_that_is_gone, is_given_up_by_agents_that_restart_again_and_again) {
+    virtual_fleet fleet;
+    fleet.submit(make_job(job_id(1), "ms=4000", 1, small));
+    fleet.sim.run_for(duration{500});
+    int busy = 1;
+    while (fleet.server(busy).running_count() == 0)
+        ++busy;
+    fleet.server(busy).crash();
+    const auto restart = [&] {
+        fleet.kill_agent(busy);
+        fleet.sim.run_for(duration{500});
+        fleet.start_agent(busy);
+        fleet.sim.run_for(duration{3500});
+    };
+    restart();
+    restart();
+    EXPECT_EQ(fleet.history.running.size(), 1U) << "it runs elsewhere";
+    fleet.submit(make_job(job_id(2), "ms=500", 12, {8'000, 16'000, 4}));
+    restart();
+    EXPECT_TRUE(
+        fleet.wait_for_state(job_id(2), fleet::JOB_COMPLETED, duration{10}));
+    restart();
+    EXPECT_TRUE(
+        fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED, duration{10}));
+    EXPECT_EQ(fleet.history.starts, 14);
+    for (const auto& violation : fleet.history.violations)
+        ADD_FAILURE() << violation;
+}
+
 // ---- Malformed messages ----
 
 TEST(malformed_message, from_an_agent_does_not_stop_the_entry) {
