Test the lease of an earlier agent on the path that still needs it

The fix is still needed where the server answers the restarted agent once, and is silent from then on before the owner has granted anything.

--- a/tests/fleet/reported_failures_test.cpp
+++ b/tests/fleet/reported_failures_test.cpp
@@ -245,6 +245,37 @@
         ADD_FAILURE() << violation;
 }
 
+// The server answers a restarted agent once and is silent from then on, before
+// the owner has granted anything for it. The lease of the earlier agent still
+// protects its runs.
+TEST(restarted_agent,
+     leaves_runs_to_the_lease_if_the_server_answers_only_once) {
+    virtual_fleet fleet;
+    fleet.submit(make_job(job_id(1), "ms=7000", 1, small));
+    fleet.sim.run_for(duration{1500});
+    int busy = 1;
+    while (fleet.server(busy).running_count() == 0)
+        ++busy;
+    fleet.kill_agent(busy);
+    fleet.start_agent(busy);
+    // The server answers only an agent that knows the owner's epoch.
+    ASSERT_TRUE(fleet.sim.run_until(
+        [&] { return fleet.agent(busy).epoch != 0; }, duration{1000}));
+    for (int entry = 1; entry <= 3; ++entry)
+        fleet.set_link(entry, busy, false);
+    ASSERT_TRUE(fleet.sim.run_until(
+        [&] { return !fleet.agent(busy).incarnation.empty(); },
+        duration{1000}));
+    fleet.server(busy).fault = call_fault::unresponsive;
+    fleet.sim.run_for(duration{2600});
+    for (int entry = 1; entry <= 3; ++entry)
+        fleet.set_link(entry, busy, true);
+    fleet.sim.run_for(duration{6000});
+    EXPECT_EQ(fleet.history.starts, 2) << "the run is lost with its lease";
+    for (const auto& violation : fleet.history.violations)
+        ADD_FAILURE() << violation;
+}
+
 // ---- Malformed messages ----
 
 TEST(malformed_message, from_an_agent_does_not_stop_the_entry) {
