--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -15,7 +15,7 @@
 
 /// Records in flight together, unless a single one is larger. More would hold
 /// up the renewal of the owner's lease on a narrow link.
-constexpr std::size_t max_bytes_in_flight = 64 * 1024;
+constexpr std::size_t max_bytes_in_flight = 64UL * 1024;
 
 /// Each job takes one condition and one value. The owner's key takes one more
 /// condition.
