Own the cell only by a claim under the lease that is renewed

No caller has reported it.

Cause: an entry took an owner key with its name and incarnation for its own, under whatever lease the key was written. An entry that is frozen behind its claim for longer than its lease gets a new one; if its watch then brings the old claim, it owns the cell until the watch brings the removal, and its new lease says that it may decide. Another entry can own the cell by then. The store's conditions and the epochs at the agents keep its writes and most of its orders out, but not the grants for agents that haven't heard of the later owner.

Change: the records of an entry name the lease under which they were written, and an owner key counts as its own only under the lease that it renews now.

Evidence: the new test fails before.

--- a/modules/fleet/include/celerylift/fleet/leadership.hpp
+++ b/modules/fleet/include/celerylift/fleet/leadership.hpp
@@ -65,7 +65,11 @@
     void tick();
     bool should_claim() const;
     void claim();
-    void handle_claim_reply(const transaction_reply& reply);
+    /// Whether this process has written an owner key, under the lease that it
+    /// renews now. A key under an earlier lease ends unnoticed.
+    bool is_own_claim(const EntryRecord& owner) const;
+    void handle_claim_reply(const EntryRecord& claimed,
+                            const transaction_reply& reply);
     void abandon_lease(const char* reason);
     void replace_lease();
     void resign(const char* reason);
--- a/modules/fleet/src/leadership.cpp
+++ b/modules/fleet/src/leadership.cpp
@@ -70,6 +70,7 @@
     if (stopped_ || reply.status != store_status::ok)
         return;
     lease_ = reply.lease;
+    self_.set_lease(lease_);
     last_renewal_sent_at_ = sent;
     lease_valid_until_ = sent + reply.ttl - lease_margin;
     registered_ = false;
@@ -137,19 +138,26 @@
     write.puts.push_back(
         {std::string(owner_key), self_.SerializeAsString(), lease_});
     store_.transact(write, call_timeout,
-                    [this](const transaction_reply& reply) {
+                    [this, claimed = self_](const transaction_reply& reply) {
                         claiming_ = false;
-                        handle_claim_reply(reply);
+                        handle_claim_reply(claimed, reply);
                     });
 }
 
-void leadership::handle_claim_reply(const transaction_reply& reply) {
+bool leadership::is_own_claim(const EntryRecord& owner) const {
+    return owner.name() == self_.name() && owner.address() == self_.address() &&
+           owner.incarnation() == self_.incarnation() &&
+           owner.lease() == self_.lease();
+}
+
+void leadership::handle_claim_reply(const EntryRecord& claimed,
+                                    const transaction_reply& reply) {
     // on_owner_changed() receives the owner key whether or not the claim
     // succeeded, which also covers a claim whose reply was lost.
-    if (reply.status == store_status::not_found)
+    if (reply.status == store_status::not_found && claimed.lease() == lease_)
         abandon_lease("the store lease has ended");
     if (reply.status == store_status::ok)
-        on_owner_changed(self_, reply.revision);
+        on_owner_changed(claimed, reply.revision);
 }
 
 void leadership::on_owner_changed(const EntryRecord& owner,
@@ -170,9 +178,7 @@
         run_.journal.event("owner_seen",
                            {{"owner", owner.name()}, {"epoch", revision}});
     if (!stopped_ && epoch_ == 0 && revision != 0 &&
-        revision != handed_over_epoch_ && owner.name() == self_.name() &&
-        owner.address() == self_.address() &&
-        owner.incarnation() == self_.incarnation()) {
+        revision != handed_over_epoch_ && is_own_claim(owner)) {
         epoch_ = revision;
         run_.journal.event("ownership_gained", {{"epoch", epoch_}});
         callbacks_.gained(epoch_);
--- a/tests/fleet/leader_preference_test.cpp
+++ b/tests/fleet/leader_preference_test.cpp
@@ -3,6 +3,7 @@
 #include "virtual_fleet.hpp"
 
 #include <celerylift/fleet/leader_preference.hpp>
+#include <celerylift/fleet/names.hpp>
 
 #include <gtest/gtest.h>
 
@@ -60,6 +61,40 @@
         make_entries({self, make_entry("b", 500, 200)}), self));
 }
 
+// ---- Claims ----
+
+// A claim was carried out under a lease that has ended since. The renewals of
+// the next lease kept an ownership alive that the store had already removed.
+TEST(claim, under_a_lease_that_has_ended_makes_no_owner) {
+    simulation sim;
+    virtual_store store{sim};
+    virtual_process process{"entry", sim.now, sim.log};
+    sim.add(&process);
+    const auto client = store.client("entry", process.liveness());
+    fleet::leadership leadership(process.runtime, *client,
+                                 make_entry("a", 500, 200),
+                                 {[](std::int64_t) {}, [] {},
+                                  [] { return std::optional{duration{0}}; }});
+    leadership.start();
+    sim.run_for(duration{50});
+    // The claim takes effect, and the entry does not learn of it in time.
+    store.fault = store_fault::lost_replies;
+    leadership.on_owner_changed({}, 0);
+    sim.run_for(duration{50});
+    const auto claimed = store.get(std::string(fleet::owner_key));
+    ASSERT_TRUE(claimed);
+    store.fault = store_fault::unresponsive;
+    sim.run_for(duration{2500});
+    store.fault = store_fault::none;
+    leadership.on_owner_changed(make_entry("b", 500, 200),
+                                claimed->revision - 1);
+    sim.run_for(duration{1500});
+    fleet::EntryRecord record;
+    record.ParseFromString(claimed->value);
+    leadership.on_owner_changed(record, claimed->revision);
+    EXPECT_EQ(leadership.epoch(), 0);
+}
+
 // ---- In a fleet ----
 
 TEST(owner_of_low_capacity, hands_over_to_a_better_entry_without_a_long_pause) {
