Cut a read that one entry makes for another to a length that passes

What users would see: an entry with a narrow link that the store turns away never reads the jobs through another entry (LOST).

Cause: a page of up to a megabyte comes back in one message. While it arrives nothing else shows that the connection is alive, and the heartbeat's timeout of 2.5 s resets it.

Change: a relayed page or watch is cut to about 128 KB. The rest is read with the next call: a page goes on after its last key, a watch after its last revision, and none is divided.

--- a/modules/fleet/src/store_calls.cpp
+++ b/modules/fleet/src/store_calls.cpp
@@ -4,6 +4,15 @@
 
 namespace {
 
+/// A message between entries is delivered as a whole. A connection on which one
+/// takes longer than its heartbeat's timeout is reset, so a reply must pass a
+/// narrow link well within that.
+constexpr std::size_t max_relayed_bytes = 128UL * 1024;
+
+std::size_t size_of(const store_item& item) {
+    return item.key.size() + item.value.size();
+}
+
 StoreStatus to_record(store_status status) {
     switch (status) {
     case store_status::ok:
@@ -73,17 +82,32 @@
     add_item(from.item, reply);
 }
 
+/// Adds the items of a page up to the limit. The next page begins after them.
 void fill_record(const range_reply& from, StoreReply& reply) {
     reply.set_as_of(from.as_of);
     reply.set_has_more(from.has_more);
-    for (const auto& item : from.items)
+    std::size_t bytes = 0;
+    for (const auto& item : from.items) {
+        if (bytes >= max_relayed_bytes)
+            return reply.set_has_more(true);
         add_item(item, reply);
+        bytes += size_of(item);
+    }
 }
 
+/// Adds the changes up to the limit, all of a revision or none. The next watch
+/// continues after the last one.
 void fill_record(const watch_reply& from, StoreReply& reply) {
     reply.set_as_of(from.as_of);
-    for (const auto& change : from.changes)
+    std::size_t bytes = 0;
+    std::int64_t revision = 0;
+    for (const auto& change : from.changes) {
+        if (bytes >= max_relayed_bytes && change.item.revision > revision)
+            return reply.set_as_of(revision);
+        revision = change.item.revision;
         add_item(change.item, reply, change.removed);
+        bytes += size_of(change.item);
+    }
 }
 
 void fill_record(const lease_reply& from, StoreReply& reply) {
