Send the payload of a job once to each server that runs it

Cause: the orders for a server repeat the payload for each task that hasn't been seen running, and are sent anew with each report. Past 8 MiB a link closes instead of delivering them; over a narrow link they take longer than a connection is kept.

Change: starts that share the payload of their job come in a field of their own, with each payload once. Only agents that say so in their reports get them; an agent of an earlier version gets whole starts, and would start nothing from the new field.

Evidence: the new test fails before (no task starts; orders of 12 MB), and holds now with messages below 512 KB.

--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -69,6 +69,7 @@
     /// it.
     time_point last_report_at{};
     std::int64_t answered_sent_at_ms = 0;
+    bool reads_shared_payloads = false; // Of the agent, by its last report.
     /// The last report was about an earlier incarnation, and was ignored.
     bool sends_superseded_reports = false;
     /// No run covered by a grant so far can go on beyond this time.
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -273,6 +273,7 @@
     report.set_failure_domain(self.failure_domain);
     report.set_sent_at_ms(self.run.now().time_since_epoch().count());
     report.set_followed_epoch(self.epoch);
+    report.set_reads_shared_payloads(true);
     for (const auto& crash : self.crashes)
         *report.add_crashes() = crash;
     report.set_has_no_server(
--- a/modules/fleet/src/agent_orders.cpp
+++ b/modules/fleet/src/agent_orders.cpp
@@ -1,5 +1,6 @@
 #include "agent_internal.hpp"
 
+#include <celerylift/fleet/names.hpp>
 #include <celerylift/fleet/run_lease.hpp>
 #include <celerylift/mutant.hpp>
 
@@ -202,18 +203,35 @@
     }
 }
 
+void add_shared_payload(const OwnerOrders& orders, StartOrder& start) {
+    const auto name = parse_task_name(start.name().task());
+    const auto it =
+        name ? orders.payloads().find(name->job) : orders.payloads().end();
+    if (it != orders.payloads().end())
+        start.set_payload(it->second);
+}
+
+template <class Function>
+void for_each_start(const OwnerOrders& orders, Function function) {
+    for (const auto& start : orders.assigned())
+        function(start);
+    for (const auto& start : orders.assigned_sharing_payloads())
+        function(start);
+}
+
 void apply_starts(agent& self, const OwnerOrders& orders) {
-    for (const auto& start : orders.assigned()) {
+    for_each_start(orders, [&](const StartOrder& start) {
         const auto key = key_of(start.name());
         self.run_resources[key] = from_record(start.each());
         if (start.seen() || self.orders.contains(key) ||
             self.gone.contains(key) || is_running(self, key) ||
             has_ended(self, key))
-            continue;
+            return;
         auto& order = self.orders[key];
         order.start = start;
+        add_shared_payload(orders, order.start);
         set_phase(self, order, order_phase::queued);
-    }
+    });
 }
 
 void apply_stops(agent& self, const OwnerOrders& orders) {
@@ -239,8 +257,9 @@
 /// Removes the state of runs that the owner's orders no longer name.
 void prune_runs(agent& self, const OwnerOrders& orders) {
     std::set<run_key> named;
-    for (const auto& start : orders.assigned())
+    for_each_start(orders, [&](const StartOrder& start) {
         named.insert(key_of(start.name()));
+    });
     for (const auto& name : orders.stops())
         named.insert(key_of(name));
     std::erase_if(self.gone,
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -270,6 +270,7 @@
     }
     server.sends_superseded_reports = false;
     server.failure_domain = report.failure_domain();
+    server.reads_shared_payloads = report.reads_shared_payloads();
     if (!std::exchange(server.has_reported, true))
         self.last_new_server_at = self.run.now();
     apply_sign_of_life(self, server, report);
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -187,17 +187,24 @@
 
 namespace {
 
-void add_start(const job& job, const task& task, OwnerOrders& orders) {
+void add_start(const server& server, const job& job, const task& task,
+               OwnerOrders& orders) {
     const auto& step = step_of(job, task.name);
-    auto* start = orders.add_assigned();
+    const bool shares_payload =
+        server.reads_shared_payloads && !task.seen_running;
+    auto* start = shares_payload ? orders.add_assigned_sharing_payloads()
+                                 : orders.add_assigned();
     start->mutable_name()->set_task(to_string(task.name));
     start->mutable_name()->set_run(task.run);
     to_record(need_of(step), start->mutable_each());
     start->set_seen(task.seen_running);
     if (task.seen_running)
         return;
-    start->set_payload(job.submission.payload());
     start->set_checkpoint(task.checkpoint);
+    if (shares_payload)
+        (*orders.mutable_payloads())[task.name.job] = job.submission.payload();
+    else
+        start->set_payload(job.submission.payload());
 }
 
 void add_stop(const std::string& name, int run, OwnerOrders& orders) {
@@ -248,7 +255,7 @@
             add_stop(to_string(name), task.run, orders);
         else if (assigned.job_ref->stored_version >= task.assigned_version ||
                  is_mutant("start-without-record"))
-            add_start(*assigned.job_ref, task, orders);
+            add_start(server, *assigned.job_ref, task, orders);
     }
     add_stops_of_unrecorded_runs(self, server, orders);
     return orders;
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -125,6 +125,19 @@
     EXPECT_EQ(fixture.server.starts[0].fencing_token, 4);
 }
 
+TEST(single_agent, starts_runs_that_share_the_payload_of_their_job) {
+    agent_fixture fixture;
+    auto orders = fixture.orders(false);
+    auto* start = orders.mutable_assigned(0);
+    start->clear_payload();
+    *orders.add_assigned_sharing_payloads() = *start;
+    orders.clear_assigned();
+    (*orders.mutable_payloads())["j"] = "shared text";
+    fleet::on_orders(fixture.agent, orders);
+    ASSERT_EQ(fixture.server.starts.size(), 1U);
+    EXPECT_EQ(fixture.server.starts[0].payload, "shared text");
+}
+
 // A newer poll reply overtook an older one. The run that the older reply did
 // not list was started again, with the empty payload of a run that has been
 // seen.
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -81,6 +81,20 @@
     expect_no_violations(fleet);
 }
 
+// The orders for a server repeated the payload for each task. For many tasks
+// they got longer than a link delivers, and the server got no orders any more.
+TEST(fleet_without_faults,
+     runs_a_job_of_thousands_of_tasks_with_long_payloads) {
+    virtual_fleet fleet;
+    const auto payload = "ms=300" + std::string(3994, ' ');
+    fleet.submit(make_job(job_id(1), payload, 3000, {20, 10, 0}));
+    EXPECT_TRUE(fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED,
+                                     duration{15'000}));
+    EXPECT_EQ(fleet.history.starts, 3000);
+    EXPECT_LT(fleet.longest_message, 512UL * 1024);
+    expect_no_violations(fleet);
+}
+
 TEST(fleet_without_faults, starts_a_step_only_after_its_predecessor) {
     virtual_fleet fleet;
     auto job = make_job(job_id(1), "ms=300", 2, small);
--- a/tests/fleet/virtual_fleet.cpp
+++ b/tests/fleet/virtual_fleet.cpp
@@ -1,5 +1,6 @@
 #include "virtual_fleet.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace celerylift::test {
@@ -195,8 +196,16 @@
         cut_links_.insert({entry, agent});
 }
 
+bool virtual_fleet::can_deliver(const fleet::FleetEnvelope& envelope) {
+    const auto bytes = envelope.ByteSizeLong();
+    longest_message = std::max(longest_message, bytes);
+    return bytes <= max_message_bytes;
+}
+
 void virtual_fleet::send_to_entry(int agent, const std::string& address,
                                   const fleet::FleetEnvelope& envelope) {
+    if (!can_deliver(envelope))
+        return;
     const int number = entry_number(address);
     sim.after(link_delay, entry_liveness(number),
               [this, agent, number, envelope] {
@@ -229,7 +238,7 @@
                   });
         return;
     }
-    if (!agents_.contains(number))
+    if (!agents_.contains(number) || !can_deliver(envelope))
         return;
     sim.after(link_delay, agents_.at(number)->process->liveness(),
               [this, entry, number, envelope] {
--- a/tests/fleet/virtual_fleet.hpp
+++ b/tests/fleet/virtual_fleet.hpp
@@ -33,6 +33,9 @@
     simulation sim;
     virtual_store store{sim};
     run_history history;
+    /// Links close a connection instead of delivering a longer message.
+    static constexpr std::size_t max_message_bytes = 8UL * 1024 * 1024;
+    std::size_t longest_message = 0; // Of those between entries and agents.
     /// By entry, for entries that are started from now on. Entries that are not
     /// listed have a capacity of 0.
     std::map<int, std::int64_t> millicores;
@@ -113,6 +116,8 @@
                               const fleet::FleetEnvelope& envelope);
     void send_to_agent(int entry, const std::string& agent,
                        const fleet::FleetEnvelope& envelope);
+    /// Whether a link delivers a message of this length.
+    bool can_deliver(const fleet::FleetEnvelope& envelope);
     bool is_link_up(int entry, int agent) const {
         return !cut_links_.contains({entry, agent});
     }
