Ignore further signals once a process ends

Cause: the event loop's handler goes with the loop, and the default action of SIGTERM is in force from then on, while the process is still ending.

Change: when the loop has ended, SIGTERM, SIGINT and SIGHUP are ignored. The handler is replaced in one step, so that there is no moment without either.

--- a/modules/net/include/celerylift/net/control_loop.hpp
+++ b/modules/net/include/celerylift/net/control_loop.hpp
@@ -48,7 +48,9 @@
     /// Calls `reload` on SIGHUP.
     void on_reload(std::function<void()> reload);
 
-    /// Calls `stop` on SIGTERM and SIGINT.
+    /// Calls `stop` on SIGTERM and SIGINT. Once run() has returned, a process
+    /// that has called this ignores both, so that a signal that is repeated
+    /// does not cut its end short.
     void on_termination(std::function<void()> stop);
 
     /// Runs the loop on the calling thread until end() is called.
@@ -67,6 +69,7 @@
     class input_handler;
 
     void run_posted();
+    void ignore_signals();
 
     // Timers use the monotonic clock, because the time of day can jump.
     using monotonic_timers =
--- a/modules/net/src/control_loop.cpp
+++ b/modules/net/src/control_loop.cpp
@@ -153,6 +153,14 @@
 void control_loop::run() {
     reactor_.owner(ACE_Thread::self());
     reactor_.run_reactor_event_loop();
+    if (stop_)
+        ignore_signals();
+}
+
+void control_loop::ignore_signals() {
+    ACE_Sig_Action ignore(SIG_IGN);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+        reactor_.remove_handler(signal, &ignore);
 }
 
 void control_loop::restart() {
