Show and cancel a job for the keys of its organisation only

Cause: a call's key was compared with the configuration, and not with the job's organisation.

Change: such a call is answered as one for a job that doesn't exist. Queues that ask for no key, and jobs that were submitted without one, are as before.

The new test fails before, on each entry.

--- a/modules/fleet/src/job_api.cpp
+++ b/modules/fleet/src/job_api.cpp
@@ -27,7 +27,7 @@
 
 struct admission {
     queue_config queue;
-    std::string organisation;
+    std::string organisation; // Empty for a public queue without a key.
 };
 
 answer make_answer(answer_kind kind, std::string message,
@@ -70,6 +70,7 @@
     std::string id;
     answer_callback done;
     time_point started_at{};
+    admission access{};
     int writes = 0;
     /// Each may have taken effect, or may still do so.
     int unanswered_writes = 0;
@@ -197,21 +198,36 @@
                                });
 }
 
-/// Calls `found` once it is certain that the job was accepted.
+/// Whether the caller may know of a job: it is of the caller's organisation, or
+/// of a queue or a time at which no key was asked for.
+bool may_access(const pending_call& call) {
+    const auto found = call.api.jobs->jobs.find(call.id);
+    if (call.access.queue.is_public || found == call.api.jobs->jobs.end() ||
+        !found->second.submission)
+        return true;
+    const auto& organisation = found->second.submission->organisation();
+    return organisation.empty() || organisation == call.access.organisation;
+}
+
+void answer_unknown(const call_ptr& call, const char* verb) {
+    finish(call, verb,
+           make_answer(answer_kind::unknown_job, "no such job was accepted"));
+}
+
+/// Calls `found` once it is certain that the job was accepted and that the
+/// caller may know of it.
 void find_job(const call_ptr& call, const char* verb,
               std::function<void()> found) {
     if (shown_state(*call->api.jobs, call->id))
-        return found();
+        return may_access(*call) ? found() : answer_unknown(call, verb);
     call->api.records.read(
         job_key(call->id, job_part::submission), call->timeout(),
         [call, verb, found = std::move(found)](const read_reply& reply) {
             if (reply.status == store_status::not_found)
-                return finish(call, verb,
-                              make_answer(answer_kind::unknown_job,
-                                          "no such job was accepted"));
+                return answer_unknown(call, verb);
             if (reply.status == store_status::ok) {
                 call->api.observe(reply.item);
-                return found();
+                return may_access(*call) ? found() : answer_unknown(call, verb);
             }
             if (call->has_time())
                 return retry_later(
@@ -326,6 +342,7 @@
     const auto access = admit(api, from);
     if (const auto* refusal = std::get_if<answer>(&access))
         return finish(call, "show", *refusal);
+    call->access = std::get<admission>(access);
     find_job(call, "show", [call] {
         auto reply = make_answer(answer_kind::shown, "");
         reply.state =
@@ -340,6 +357,7 @@
     const auto access = admit(api, from);
     if (const auto* refusal = std::get_if<answer>(&access))
         return finish(call, "cancel", *refusal);
+    call->access = std::get<admission>(access);
     find_job(call, "cancel", [call] {
         const auto state = shown_state(*call->api.jobs, call->id);
         if (state && is_final(*state))
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -123,6 +123,21 @@
     EXPECT_EQ(fleet.history.starts, 0);
 }
 
+// A caller with the valid key of another organisation could read and cancel a
+// job by its id.
+TEST(fleet_without_faults, shows_and_cancels_a_job_for_its_organisation_only) {
+    virtual_fleet fleet;
+    fleet.submit(make_job(job_id(1), "ms=2000", 1, small));
+    for (int entry = 1; entry <= 3; ++entry) {
+        EXPECT_EQ(fleet.show(job_id(1), entry, "cwm-key").kind,
+                  answer_kind::unknown_job);
+        EXPECT_EQ(fleet.cancel(job_id(1), entry, "cwm-key").kind,
+                  answer_kind::unknown_job);
+        EXPECT_EQ(fleet.show(job_id(1), entry).kind, answer_kind::shown);
+    }
+    EXPECT_TRUE(fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED));
+}
+
 TEST(fleet_without_faults, accepts_a_repeated_submission_without_a_second_run) {
     virtual_fleet fleet;
     const auto job = make_job(job_id(1), "ms=100", 1, small);
--- a/tests/fleet/virtual_fleet.cpp
+++ b/tests/fleet/virtual_fleet.cpp
@@ -333,18 +333,20 @@
     return found;
 }
 
-fleet::answer virtual_fleet::show(const std::string& id, int entry) {
+fleet::answer virtual_fleet::show(const std::string& id, int entry,
+                                  const std::string& key) {
     auto answer = std::make_shared<std::optional<fleet::answer>>();
     fleet::show_state(entries_.at(entry)->node->api(),
-                      make_caller(id, "kwela-key", "/normal/"), id,
+                      make_caller(id, key, "/normal/"), id,
                       [answer](const fleet::answer& a) { *answer = a; });
     return wait_for_answer(*answer);
 }
 
-fleet::answer virtual_fleet::cancel(const std::string& id, int entry) {
+fleet::answer virtual_fleet::cancel(const std::string& id, int entry,
+                                    const std::string& key) {
     auto answer = std::make_shared<std::optional<fleet::answer>>();
     fleet::cancel(entries_.at(entry)->node->api(),
-                  make_caller(id, "kwela-key", "/normal/"), id,
+                  make_caller(id, key, "/normal/"), id,
                   [answer](const fleet::answer& a) { *answer = a; });
     return wait_for_answer(*answer);
 }
--- a/tests/fleet/virtual_fleet.hpp
+++ b/tests/fleet/virtual_fleet.hpp
@@ -78,8 +78,10 @@
     /// The state of a job at any entry. A final state takes precedence.
     std::optional<fleet::JobState>
     state_at_any_entry(const std::string& id) const;
-    fleet::answer show(const std::string& id, int entry = 1);
-    fleet::answer cancel(const std::string& id, int entry = 1);
+    fleet::answer show(const std::string& id, int entry = 1,
+                       const std::string& key = "kwela-key");
+    fleet::answer cancel(const std::string& id, int entry = 1,
+                         const std::string& key = "kwela-key");
 
     /// Runs until an entry shows a state of a job or a limit has passed.
     /// Returns whether the entry shows it.
