Bound the calls that an agent has open to its server

Cause: an agent sent all starts at once, each with half a second to be answered, and counted the free capacity anew for each of them over all runs, which blocked it for 4.5 s. The server answered none in time, so all were given up and ordered again.

Change: at most 32 starts and stops are open at a time. An order that waits for a call is not given up for want of capacity. The free capacity is counted once a pass, and runs are looked up by key.

The new test of the agent fails without the bound (100 starts at once).

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -99,6 +100,9 @@
 
     std::vector<RunningTask> running{};
     std::vector<EndedTask> ended{};
+    /// The runs in these two lists.
+    std::set<run_key> running_keys{};
+    std::set<run_key> ended_keys{};
     bool has_run_list = false;
     /// When the server made the lists, on its own clock.
     std::int64_t run_list_clock_ms = 0;
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -54,6 +54,7 @@
     self.has_orders = false;
     self.running.clear();
     self.ended.clear();
+    index_run_lists(self);
     self.has_run_list = false;
     self.orders.clear();
     self.gone.clear();
@@ -105,6 +106,7 @@
     for (const auto& end : reply.ended)
         if (end.number() > self.acknowledged_up_to)
             self.ended.push_back(end);
+    index_run_lists(self);
     self.has_run_list = true;
     if (changed)
         send_report(self);
--- a/modules/fleet/src/agent_internal.hpp
+++ b/modules/fleet/src/agent_internal.hpp
@@ -8,6 +8,9 @@
 
 void send_report(agent& self);
 
+/// Updates the keys of the runs in the two lists after these have changed.
+void index_run_lists(agent& self);
+
 /// Sends the polls, starts and stops that are due.
 void send_due_calls(agent& self);
 void advance_orders(agent& self);
--- a/modules/fleet/src/agent_orders.cpp
+++ b/modules/fleet/src/agent_orders.cpp
@@ -22,20 +22,20 @@
 /// an order stays uncertain or fenced before it requests another poll.
 constexpr duration stop_retry_interval{400};
 
+/// Starts and stops in flight. A server that gets thousands at once answers
+/// none of them in time.
+constexpr std::ptrdiff_t max_open_calls = 32;
+
 run_key key_of(const RunName& name) {
     return {name.task(), name.run()};
 }
 
 bool is_running(const agent& self, const run_key& key) {
-    return std::ranges::any_of(self.running, [&](const auto& running) {
-        return key_of(running.name()) == key;
-    });
+    return self.running_keys.contains(key);
 }
 
 bool has_ended(const agent& self, const run_key& key) {
-    return std::ranges::any_of(self.ended, [&](const auto& ended) {
-        return key_of(ended.name()) == key;
-    });
+    return self.ended_keys.contains(key);
 }
 
 void set_phase(agent& self, run_order& order, order_phase phase) {
@@ -54,31 +54,30 @@
 /// Capacity that is certainly free: every run that may be active is deducted.
 /// Nothing if the resources of one of them are not known.
 std::optional<resources> free_capacity(const agent& self) {
-    std::set<run_key> counted;
-    for (const auto& running : self.running)
-        counted.insert(key_of(running.name()));
-    for (const auto& [key, order] : self.orders)
-        if (order.phase != order_phase::queued && !has_ended(self, key))
-            counted.insert(key);
     auto free = self.last_heartbeat.capacity;
-    for (const auto& key : counted) {
+    const auto deduct = [&](const run_key& key) {
         const auto it = self.run_resources.find(key);
         if (it == self.run_resources.end())
-            return std::nullopt;
+            return false;
         free -= it->second;
-    }
+        return true;
+    };
+    for (const auto& key : self.running_keys)
+        if (!deduct(key))
+            return std::nullopt;
+    for (const auto& [key, order] : self.orders)
+        if (order.phase != order_phase::queued && !has_ended(self, key) &&
+            !is_running(self, key) && !deduct(key))
+            return std::nullopt;
     return free;
 }
 
-bool can_start(const agent& self, const run_order& order) {
+bool may_start_runs(const agent& self) {
     if (self.stopping || self.departed || self.last_heartbeat.draining ||
         !self.has_run_list || !self.clock_known || !self.has_orders ||
         !self.incarnation_confirmed)
         return false;
-    if (self.run.now() + min_grant_for_start > self.granted_until)
-        return false;
-    const auto free = free_capacity(self);
-    return free && fits(from_record(order.start.each()), *free);
+    return self.run.now() + min_grant_for_start <= self.granted_until;
 }
 
 void handle_start_reply(agent& self, const run_key& key,
@@ -276,6 +275,15 @@
 
 } // namespace
 
+void index_run_lists(agent& self) {
+    self.running_keys.clear();
+    for (const auto& running : self.running)
+        self.running_keys.insert(key_of(running.name()));
+    self.ended_keys.clear();
+    for (const auto& ended : self.ended)
+        self.ended_keys.insert(key_of(ended.name()));
+}
+
 void update_clock(agent& self, const std::optional<std::int64_t>& clock_ms) {
     if (!clock_ms)
         return;
@@ -310,20 +318,67 @@
         send_report(self);
 }
 
+namespace {
+
+/// What one pass over the orders may still use. The free capacity is counted
+/// once it is asked for.
+struct order_budget {
+    bool may_start = false;
+    std::ptrdiff_t calls = 0;
+    std::optional<std::optional<resources>> free;
+};
+
+/// Calls are made in groups, because counting the free capacity costs more than
+/// a call.
+order_budget budget_of(const agent& self) {
+    const auto open = std::ranges::count_if(
+        self.orders, [](const auto& order) { return order.second.call_open; });
+    return {may_start_runs(self),
+            open > max_open_calls / 2 ? 0 : max_open_calls - open,
+            std::nullopt};
+}
+
+/// Takes the resources of a run from the free capacity. Returns whether it has
+/// them.
+bool take_capacity(const agent& self, const run_order& order,
+                   order_budget& budget) {
+    if (!budget.free)
+        budget.free = free_capacity(self);
+    auto& free = *budget.free;
+    const auto each = from_record(order.start.each());
+    if (!free || !fits(each, *free))
+        return false;
+    *free -= each;
+    return true;
+}
+
+void advance_queued(agent& self, const run_key& key, run_order& order,
+                    order_budget& budget) {
+    const auto now = self.run.now();
+    if (budget.may_start && budget.calls <= 0) {
+        order.phase_since = now; // It waits for a call, not for capacity.
+    } else if (budget.may_start && take_capacity(self, order, budget)) {
+        send_start(self, key, order);
+        --budget.calls;
+    } else if (now > order.phase_since + max_wait_for_capacity ||
+               self.last_heartbeat.draining) {
+        fence(self, order, "the agent found no free capacity or no grant");
+    }
+}
+
+} // namespace
+
 void advance_orders(agent& self) {
+    auto budget = budget_of(self);
     for (auto& [key, order] : self.orders) {
         const auto now = self.run.now();
         if (order.phase == order_phase::queued) {
-            if (can_start(self, order))
-                send_start(self, key, order);
-            else if (now > order.phase_since + max_wait_for_capacity ||
-                     self.last_heartbeat.draining)
-                fence(self, order,
-                      "the agent found no free capacity or no grant");
+            advance_queued(self, key, order, budget);
         } else if (order.phase == order_phase::fencing && !order.call_open &&
                    now >= order.last_call_at + stop_retry_interval &&
-                   !self.departed) {
+                   !self.departed && budget.calls > 0) {
             send_stop(self, key, order);
+            --budget.calls;
         } else if (order.phase == order_phase::fenced &&
                    now > order.phase_since && !order.poll_requested &&
                    !is_running(self, key)) {
@@ -358,6 +413,7 @@
         std::erase_if(self.ended, [&](const EndedTask& e) {
             return e.number() <= self.acknowledged_up_to;
         });
+        index_run_lists(self);
         self.poll_requested = true;
     }
     // Orders are applied only once it is known what the server already runs.
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <fmt/format.h>
 #include <functional>
 
 namespace celerylift::test {
@@ -19,12 +20,14 @@
                          std::function<void(const fleet::poll_reply&)>>>
         polls;
     std::string last_polled_id;
+    std::deque<std::function<void(const fleet::server_reply&)>> start_replies;
     std::function<void(const fleet::server_reply&)> last_start;
     std::function<void(const fleet::server_reply&)> last_stop;
 
     void start(const std::string&, const fleet::start_call& call,
                std::function<void(const fleet::server_reply&)> done) override {
         starts.push_back(call);
+        start_replies.push_back(done);
         last_start = std::move(done);
     }
     void stop(const std::string&, const fleet::stop_call& call,
@@ -125,6 +128,28 @@
     EXPECT_EQ(fixture.server.starts[0].fencing_token, 4);
 }
 
+// An agent sent thousands of starts at once. Its server answered none of them
+// in time, and all were given up.
+TEST(single_agent, sends_a_bounded_number_of_starts_at_a_time) {
+    agent_fixture fixture;
+    auto orders = fixture.orders(false, 0);
+    for (int n = 1; n < 100; ++n)
+        *orders.add_assigned() =
+            fixture.orders(false, 0, fmt::format("j.0.0.{}", n)).assigned(0);
+    fleet::on_orders(fixture.agent, orders);
+    ASSERT_EQ(fixture.server.starts.size(), 32U);
+    // The others wait for calls for longer than they may wait for capacity.
+    for (int n = 0; n < 50; ++n) {
+        fixture.sim.run_for(duration{40});
+        fleet::on_tick(fixture.agent);
+    }
+    EXPECT_EQ(fixture.server.starts.size(), 32U);
+    EXPECT_TRUE(fixture.server.stops.empty());
+    for (std::size_t n = 0; n < fixture.server.starts.size(); ++n)
+        fixture.server.start_replies[n]({fleet::server_status::ok, 110, ""});
+    EXPECT_EQ(fixture.server.starts.size(), 100U);
+}
+
 TEST(single_agent, starts_runs_that_share_the_payload_of_their_job) {
     agent_fixture fixture;
     auto orders = fixture.orders(false);
