Give more time only to calls that more time can help

Where answers are lost for another reason than a narrow link, a watch could have waited 16 s for the end of an owner, and a small write as long for its next try.

Change: a watch grows to 4.4 s at most. A write grows only if it has 16 KB or more, which a link of 0.4 Mbit/s carries in half a second.

--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -33,6 +33,7 @@
 /// An owner that has not read all jobs within this time leaves the cell to an
 /// entry that may have read them, before the runs lose their grants.
 inline constexpr duration min_takeover_timeout{1500};
+inline constexpr duration max_takeover_timeout{16'000};
 
 /// An entry without its sockets: follows the store, serves callers through its
 /// job API and, while it owns the cell, schedules for all agents.
@@ -103,7 +104,8 @@
     time_point gained_at_{};
     /// This entry could not take over and leaves the cell to others until then.
     time_point claims_again_at_{};
-    growing_timeout takeover_timeout_{min_takeover_timeout};
+    growing_timeout takeover_timeout_{min_takeover_timeout,
+                                      max_takeover_timeout};
     struct known_agent {
         time_point last_message_at{};
         std::uint64_t entries_version = 0;
--- a/modules/fleet/include/celerylift/fleet/growing_timeout.hpp
+++ b/modules/fleet/include/celerylift/fleet/growing_timeout.hpp
@@ -11,18 +11,17 @@
 /// while a dead connection is noticed soon at first.
 class growing_timeout {
 public:
-    explicit growing_timeout(duration shortest)
-        : shortest_(shortest), current_(shortest) {}
+    constexpr growing_timeout(duration shortest, duration longest)
+        : shortest_(shortest), longest_(longest), current_(shortest) {}
 
     duration value() const { return current_; }
-    void grow() { current_ = std::min(current_ * 2, longest); }
+    void grow() { current_ = std::min(current_ * 2, longest_); }
     void shrink() { current_ = std::max(current_ / 2, shortest_); }
     void reset() { current_ = shortest_; }
 
-    static constexpr duration longest{16'000};
-
 private:
     duration shortest_;
+    duration longest_;
     duration current_;
 };
 
--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -141,7 +141,7 @@
     std::set<std::string> unwritten_jobs{};
     int writes_in_flight = 0;
     std::size_t bytes_in_flight = 0; // Of records that are being written.
-    growing_timeout write_timeout{duration{1000}};
+    growing_timeout write_timeout{duration{1000}, duration{16'000}};
     time_point next_write_at{};
 
     bool pass_scheduled = false;
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -17,6 +17,10 @@
 /// up the renewal of the owner's lease on a narrow link.
 constexpr std::size_t max_bytes_in_flight = 64UL * 1024;
 
+/// A write of less than this has time enough on a narrow link too. It is not
+/// answered because the answer was lost, which more time does not help.
+constexpr std::size_t long_write_bytes = 16UL * 1024;
+
 /// Each job takes one condition and one value. The owner's key takes one more
 /// condition.
 constexpr std::size_t max_jobs_per_write = (max_transaction_entries - 1) / 2;
@@ -116,10 +120,12 @@
     self.on_records_written(items);
 }
 
-void adapt_write_timeout(owner& self, time_point sent_at, store_status status) {
+void adapt_write_timeout(owner& self, const std::vector<job_write>& batch,
+                         time_point sent_at, store_status status) {
     if (status == store_status::ok)
         self.write_timeout.shrink();
     else if (status == store_status::unknown &&
+             size_of(batch) >= long_write_bytes &&
              self.run.now() >= sent_at + self.write_timeout.value())
         self.write_timeout.grow();
 }
@@ -178,7 +184,7 @@
              sent_at = self.run.now()](const transaction_reply& reply) {
                 --self.writes_in_flight;
                 self.bytes_in_flight -= size_of(batch);
-                adapt_write_timeout(self, sent_at, reply.status);
+                adapt_write_timeout(self, batch, sent_at, reply.status);
                 if (self.epoch == epoch)
                     handle_write_reply(self, batch, reply);
             });
--- a/modules/fleet/src/watch_cache.cpp
+++ b/modules/fleet/src/watch_cache.cpp
@@ -7,10 +7,14 @@
 namespace {
 
 constexpr duration min_read_timeout{1000};
+constexpr duration max_read_timeout{16'000};
 /// The times are short because nothing else shows that the connection of a
 /// watch is dead.
 constexpr duration max_watch_wait{1500};
 constexpr duration min_watch_timeout{2200};
+/// Replies can be lost for other reasons than a narrow link. What is followed
+/// must not get older for that than this.
+constexpr duration max_watch_timeout{4400};
 /// For a watch that should return at once; the interface accepts no less.
 constexpr duration min_watch_wait{1};
 /// Between two calls to a store that refuses or does not answer.
@@ -23,8 +27,10 @@
                          std::function<void()> on_progress)
     : run_(run), store_(source), prefix_(std::move(prefix)),
       batch_interval_(batch_interval), on_change_(std::move(on_change)),
-      on_progress_(std::move(on_progress)), read_timeout_(min_read_timeout),
-      watch_timeout_(min_watch_timeout), catch_up_timeout_(min_read_timeout) {}
+      on_progress_(std::move(on_progress)),
+      read_timeout_(min_read_timeout, max_read_timeout),
+      watch_timeout_(min_watch_timeout, max_watch_timeout),
+      catch_up_timeout_(min_read_timeout, max_watch_timeout) {}
 
 void watch_cache::start() {
     read_as_of_ = 0;
--- a/tests/fleet/store_outage_test.cpp
+++ b/tests/fleet/store_outage_test.cpp
@@ -150,11 +150,11 @@
 // with many tasks was sent again for ever, and none of them started.
 TEST(owner_over_a_narrow_link, stores_the_record_of_a_job_with_many_tasks) {
     virtual_fleet fleet;
-    fleet.store.written_bytes_per_s = 4000;
-    fleet.submit(make_job("00000000000000aa", "ms=200", 200, {100, 100, 0}));
+    fleet.store.written_bytes_per_s = 12'000;
+    fleet.submit(make_job("00000000000000aa", "ms=200", 600, {100, 100, 0}));
     EXPECT_TRUE(fleet.wait_for_state("00000000000000aa", fleet::JOB_COMPLETED,
                                      duration{40'000}));
-    EXPECT_EQ(fleet.history.starts, 200);
+    EXPECT_EQ(fleet.history.starts, 600);
     for (const auto& violation : fleet.history.violations)
         ADD_FAILURE() << violation;
 }
