Log a server that answers after its agent took it for departed

An agent that takes its server for departed has its tasks started elsewhere. If the server answers again, its runs may have gone on, and two runs of a task are possible. The logs said when a server departed, but not that it was still there, so that a departure that was believed wrongly looked like a true one.

`server_answers_again` says for how long it counted as departed, and whether it had announced its end. No change of behaviour; agent_test passes.

--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -112,6 +112,18 @@
         send_report(self);
 }
 
+/// Handles a reply of a server that may have been taken for departed. Its runs
+/// were given up meanwhile although they may have gone on.
+void note_return(agent& self) {
+    if (!std::exchange(self.departed, false))
+        return;
+    self.run.journal.event(
+        "server_answers_again",
+        {{"incarnation", self.incarnation},
+         {"announced_end", self.has_announced_end},
+         {"departed_ms", (self.run.now() - self.departed_at).count()}});
+}
+
 /// Whether a reply to a poll comes from the incarnation of a heartbeat.
 bool is_from(const poll_reply& reply, const server_heartbeat& heartbeat) {
     return reply.started_unix_ms == 0 || heartbeat.started_unix_ms == 0 ||
@@ -138,7 +150,7 @@
         self.next_long_poll_at = self.run.now() + poll_retry_delay;
         return;
     }
-    self.departed = false;
+    note_return(self);
     self.incarnation_confirmed = true;
     self.last_reply_at = self.run.now();
     // Replies on two connections can arrive out of order. An older list would
