Take a server for departed only once its announced end shows

A server that leaves announces its end to its agent. The agent believed that at once: it told the owner that nothing runs there, and the owner started the tasks elsewhere within milliseconds. The announcement names the id alone.

Cause: a message counts as proof of something that only the server itself can show.

Now an announced end keeps new work away, and the server counts as departed once nothing accepts connections at its address. The open long poll ends with the server, so that the agent notices at once. A refused connection alone shows nothing (a server may refuse for a while), a heartbeat of the same incarnation withdraws the end, and a server that neither answers nor refuses is given up with its lease as before. Calls that reach no listener have a status of their own.

Ruled out: to compare `born` of the announcement; it has no body.

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -71,6 +71,8 @@
     /// When the agent last took the server for departed. The owner gives up the
     /// server's runs, so orders that answer an earlier report count no more.
     time_point departed_at{};
+    /// The server has announced its end. It counts as departed once nothing
+    /// accepts connections at its address any more.
     bool has_announced_end = false;
     bool stopping = false;
 
@@ -128,7 +130,9 @@
 /// effect once the server has answered a poll for it.
 bool on_heartbeat(agent& self, const server_heartbeat& heartbeat);
 
-/// Handles the server's announcement that it has ended.
+/// Handles the server's announcement that it ends. The announcement names no
+/// incarnation and may be late, so the runs count as ended only once the server
+/// cannot be reached. Until then nothing new is started.
 void on_departure(agent& self, const std::string& id);
 
 /// Handles orders of the owner; those of an earlier epoch are ignored.
--- a/modules/fleet/include/celerylift/fleet/backend_server.hpp
+++ b/modules/fleet/include/celerylift/fleet/backend_server.hpp
@@ -30,10 +30,17 @@
 };
 
 /// Outcome of a call to a backend server. `refused`: the call had no effect.
-/// `other_incarnation`: the call had no effect because the server does not have
-/// the id that the call names. `unknown`: the call may have taken effect, or
-/// may still do so seconds later.
-enum class server_status { ok, refused, other_incarnation, unknown };
+/// `unreachable`: it had none because nothing accepts connections at the
+/// server's address. `other_incarnation`: it had none because the server does
+/// not have the id that the call names. `unknown`: the call may have taken
+/// effect, or may still do so seconds later.
+enum class server_status {
+    ok,
+    refused,
+    unreachable,
+    other_incarnation,
+    unknown
+};
 
 /// Starts a run of a task. `fencing_token` is the epoch of the owner that
 /// ordered it; the server refuses calls with a lower one than it has seen.
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -17,6 +17,8 @@
 constexpr duration busy_poll_wait{300};
 constexpr duration idle_poll_wait{1000};
 constexpr duration poll_retry_delay{100};
+/// After a server has announced its end, which a refused connection confirms.
+constexpr duration departure_poll_delay{20};
 
 /// A server that has not replied for this long counts as departed once the
 /// lease of its runs has expired.
@@ -130,6 +132,17 @@
            reply.started_unix_ms == heartbeat.started_unix_ms;
 }
 
+/// A server that has announced its end is gone once it refuses connections.
+void confirm_announced_end(agent& self, server_status status) {
+    if (status != server_status::unreachable || !self.has_announced_end ||
+        self.departed)
+        return;
+    mark_departed(self);
+    self.run.journal.event("server_departed",
+                           {{"incarnation", self.incarnation}});
+    send_report(self);
+}
+
 void handle_poll_reply(agent& self, const poll_reply& reply,
                        time_point requested_at) {
     if (reply.status == server_status::other_incarnation) {
@@ -140,8 +153,12 @@
         return;
     }
     if (reply.status != server_status::ok) {
+        confirm_announced_end(self, reply.status);
         self.incarnation_confirmed = false;
-        self.next_long_poll_at = self.run.now() + poll_retry_delay;
+        const bool is_ending = self.has_announced_end && !self.departed;
+        self.next_long_poll_at =
+            self.run.now() +
+            (is_ending ? departure_poll_delay : poll_retry_delay);
         return;
     }
     if (!is_from(reply, self.last_heartbeat)) {
@@ -246,6 +263,16 @@
     send_report(self);
 }
 
+/// Handles a heartbeat of a server that has announced its end: the announcement
+/// was of an earlier incarnation.
+void withdraw_end(agent& self) {
+    if (!std::exchange(self.has_announced_end, false))
+        return;
+    self.run.journal.event("server_end_withdrawn",
+                           {{"incarnation", self.incarnation}});
+    send_report(self);
+}
+
 } // namespace
 
 bool on_heartbeat(agent& self, const server_heartbeat& heartbeat) {
@@ -257,6 +284,7 @@
         self.announced = heartbeat;
         self.next_identity_poll_at = {};
     } else if (heartbeat.sequence > self.last_heartbeat.sequence) {
+        withdraw_end(self);
         const bool changed = heartbeat.draining != self.last_heartbeat.draining;
         apply_heartbeat(self, heartbeat);
         if (changed) {
@@ -273,13 +301,14 @@
 }
 
 void on_departure(agent& self, const std::string& id) {
-    if (id != self.last_heartbeat.id)
+    if (id != self.last_heartbeat.id || self.departed ||
+        std::exchange(self.has_announced_end, true))
         return;
-    mark_departed(self);
-    self.has_announced_end = true;
-    self.run.journal.event("server_departed",
+    self.run.journal.event("server_end_announced",
                            {{"incarnation", self.incarnation}});
     send_report(self);
+    self.next_long_poll_at = {};
+    send_due_calls(self);
 }
 
 void send_report(agent& self) {
@@ -302,7 +331,8 @@
         to_record(self.last_heartbeat.capacity, server->mutable_capacity());
         for (const auto& label : self.last_heartbeat.labels)
             server->add_labels(label);
-        server->set_draining(self.last_heartbeat.draining || self.stopping);
+        server->set_draining(self.last_heartbeat.draining || self.stopping ||
+                             self.has_announced_end);
         server->set_departed(self.departed);
         // At least 1 ms, also when the time is over: 0 means that the server
         // does not report it.
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -52,9 +52,11 @@
     }
 
     /// Leaves the newest poll without an answer.
-    void time_out() {
+    void time_out() { fail(fleet::server_status::unknown); }
+
+    void fail(fleet::server_status status) {
         fleet::poll_reply reply;
-        reply.status = fleet::server_status::unknown;
+        reply.status = status;
         auto call = polls.back();
         polls.pop_back();
         call.second(reply);
@@ -348,6 +350,25 @@
     EXPECT_EQ(fixture.report.server().incarnation(), "i-2@9");
 }
 
+// Refused connections alone don't show that a server has ended.
+TEST(single_agent, takes_a_server_for_departed_once_its_announced_end_shows) {
+    agent_fixture fixture;
+    fleet::on_orders(fixture.agent, fixture.orders(false));
+    fixture.confirm_start();
+    fixture.server.fail(fleet::server_status::unreachable);
+    fleet::report_now(fixture.agent);
+    EXPECT_FALSE(fixture.report.server().departed());
+    fleet::on_departure(fixture.agent, "i-1");
+    EXPECT_FALSE(fixture.report.server().departed());
+    EXPECT_TRUE(fixture.report.server().draining());
+    fixture.server.time_out();
+    EXPECT_FALSE(fixture.report.server().departed());
+    fixture.sim.now += duration{40};
+    fleet::on_tick(fixture.agent);
+    fixture.server.fail(fleet::server_status::unreachable);
+    EXPECT_TRUE(fixture.report.server().departed());
+}
+
 // The clock of a host went back before its server started again. The agent
 // took each heartbeat of the new life for a late one of an earlier life.
 TEST(single_agent, follows_a_server_that_starts_after_its_clock_went_back) {
--- a/tests/fleet/crashing_tasks_test.cpp
+++ b/tests/fleet/crashing_tasks_test.cpp
@@ -309,7 +309,7 @@
     server.remaining = duration{1000};
     fleet.sim.after(duration{1500}, [&fleet, &server, number] {
         fleet::on_departure(fleet.agent(number), server.id());
-        server.crash();
+        server.leave();
     });
     fleet.sim.after(duration{1500} + time, [&server] {
         server.draining = false;
--- a/tests/fleet/late_messages_test.cpp
+++ b/tests/fleet/late_messages_test.cpp
@@ -100,6 +100,32 @@
     expect_one_run(fleet);
 }
 
+// A server that has announced its end may go on for a while, and what runs
+// there with it.
+TEST(announced_end, loses_no_run_before_the_server_is_gone) {
+    virtual_fleet fleet;
+    const int n = start_long_task(fleet);
+    ASSERT_NE(n, 0);
+    fleet::on_departure(fleet.agent(n), fleet.server(n).id());
+    fleet.sim.run_for(duration{400});
+    expect_one_run(fleet);
+    fleet.server(n).leave();
+    fleet.sim.run_for(duration{500});
+    EXPECT_EQ(fleet.history.starts, 2);
+    EXPECT_NE(server_of(fleet, job_id(1)), n);
+    EXPECT_TRUE(fleet.history.violations.empty());
+}
+
+// The next life of a server whose earlier end is announced late gets work again.
+TEST(late_departure, of_an_earlier_life_keeps_no_work_away) {
+    virtual_fleet fleet({3, 1, 1});
+    fleet::on_departure(fleet.agent(1), fleet.server(1).id());
+    fleet.sim.run_for(duration{1500});
+    fleet.submit(make_job(job_id(1), "ms=300", 1, small));
+    EXPECT_TRUE(fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED,
+                                     duration{3000}));
+}
+
 // Reports about a life of a server that seems to be the earlier one, because
 // the clock of its host went back, count again once the lease of the runs of
 // the other life has ended.
--- a/tests/fleet/virtual_server.cpp
+++ b/tests/fleet/virtual_server.cpp
@@ -121,6 +121,13 @@
         sim.after(one_way_delay,
                   [&server = server_, action, done, liveness = liveness_,
                    incarnation = server_.incarnation_] {
+                      if (server.has_left_) {
+                          Reply refused;
+                          refused.status = fleet::server_status::unreachable;
+                          server.sim_.after(one_way_delay, liveness,
+                                            [done, refused] { done(refused); });
+                          return;
+                      }
                       if (!server.up_ || server.incarnation_ != incarnation) {
                           server.sim_.after(reply_timeout, liveness,
                                             [done] { done({}); });
@@ -415,9 +422,15 @@
     });
 }
 
+void virtual_server::leave() {
+    crash();
+    has_left_ = true;
+}
+
 void virtual_server::restart() {
     crash();
     up_ = true;
+    has_left_ = false;
     started_at_ = sim_.now;
     sequence_ = 0;
     fencing_token_ = 0;
--- a/tests/fleet/virtual_server.hpp
+++ b/tests/fleet/virtual_server.hpp
@@ -68,6 +68,8 @@
 
     /// Ends at once. Its runs and its unacknowledged ends are lost.
     void crash();
+    /// Ends after its end was announced: its host refuses connections.
+    void leave();
     /// Starts again under the same id, as a new incarnation.
     void restart();
     /// Crashes, and starts again after a time.
@@ -130,6 +132,7 @@
     std::string id_;
     std::string rack_;
     bool up_ = true;
+    bool has_left_ = false;
     time_point started_at_{};
     std::int64_t sequence_ = 0;
     std::int64_t fencing_token_ = 0;
