Ignore a report that a later one of the same agent has overtaken

An agent that takes its server for departed says so, and reports the server again once it answers. No way is known by which it can arrive late; the test injects it.

Now a report about the incarnation of the last one, sent earlier than that, is ignored, counted and logged. A host whose clock starts anew cannot be told from a late report at once; its agent is heard again once the grant for the later report has ended, when nothing of the earlier one can count any more.

Ruled out: a new field with the agent's own incarnation. Agents of earlier versions don't send it, and the grant bounds the harm without it.

--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -68,6 +68,7 @@
     /// Of the last report that names the server. Others are no sign of life of
     /// it.
     time_point last_report_at{};
+    /// When its agent sent that report, on the clock of the agent's host.
     std::int64_t answered_sent_at_ms = 0;
     bool reads_shared_payloads = false; // Of the agent, by its last report.
     /// The last report was about an earlier incarnation, and was ignored.
--- a/modules/fleet/src/agent_orders.cpp
+++ b/modules/fleet/src/agent_orders.cpp
@@ -74,8 +74,8 @@
 
 bool may_start_runs(const agent& self) {
     if (self.stopping || self.departed || self.has_announced_end ||
-        self.last_heartbeat.draining || !self.has_run_list || !self.clock_known || !self.has_orders ||
-        !self.incarnation_confirmed)
+        self.last_heartbeat.draining || !self.has_run_list ||
+        !self.clock_known || !self.has_orders || !self.incarnation_confirmed)
         return false;
     return self.run.now() + min_grant_for_start <= self.granted_until;
 }
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -81,6 +81,17 @@
     });
 }
 
+/// Whether a report was overtaken by a later one about the same incarnation.
+/// The clock of a host may start anew, so that this counts only for as long as
+/// the grant for the later report.
+bool is_overtaken(const owner& self, const server& server,
+                  const AgentReport& report) {
+    return !report.server().incarnation().empty() &&
+           report.server().incarnation() == server.state.incarnation() &&
+           report.sent_at_ms() < server.answered_sent_at_ms &&
+           self.run.now() < end_of_grant(server.last_report_at);
+}
+
 void apply_server_state(owner& self, server& server,
                         const AgentReport& report) {
     const auto& state = report.server();
@@ -256,6 +267,15 @@
         return;
     auto& server = self.servers[agent];
     server.agent = agent;
+    if (is_overtaken(self, server, report)) {
+        self.run.journal.event("report_overtaken",
+                               {{"agent", agent},
+                                {"incarnation", report.server().incarnation()},
+                                {"departed", report.server().departed()},
+                                {"older_by_ms", server.answered_sent_at_ms -
+                                                    report.sent_at_ms()}});
+        return self.run.metrics.count("reports_overtaken_total");
+    }
     // Not even as a sign of life: should the later incarnation be gone after
     // all, its runs are given up with their lease.
     if (is_superseded(server, report)) {
--- a/tests/fleet/late_messages_test.cpp
+++ b/tests/fleet/late_messages_test.cpp
@@ -84,6 +84,22 @@
     expect_one_run(fleet);
 }
 
+// Its agent is heard again, at the latest once the grant has ended.
+TEST(agent_whose_clock_starts_anew, is_heard_once_the_grant_has_ended) {
+    virtual_fleet fleet;
+    fleet.kill_agent(1);
+    auto& server =
+        fleet.entry(fleet.owner_entry()).owner_state().servers.at("agent-1");
+    fleet::AgentReport report;
+    report.mutable_server()->set_incarnation(server.state.incarnation());
+    report.mutable_server()->set_draining(true);
+    inject(fleet, 1, report);
+    EXPECT_FALSE(server.state.draining());
+    fleet.sim.run_for(duration{5500});
+    inject(fleet, 1, report);
+    EXPECT_TRUE(server.state.draining());
+}
+
 // A server that starts again may keep its id. The departure of its earlier life
 // is handled once the next life has runs, as after a pause of the agent.
 TEST(late_departure, of_an_earlier_life_of_the_same_id_loses_no_run) {
@@ -116,14 +132,15 @@
     EXPECT_TRUE(fleet.history.violations.empty());
 }
 
-// The next life of a server whose earlier end is announced late gets work again.
+// The next life of a server whose earlier end is announced late gets work
+// again.
 TEST(late_departure, of_an_earlier_life_keeps_no_work_away) {
     virtual_fleet fleet({3, 1, 1});
     fleet::on_departure(fleet.agent(1), fleet.server(1).id());
     fleet.sim.run_for(duration{1500});
     fleet.submit(make_job(job_id(1), "ms=300", 1, small));
-    EXPECT_TRUE(fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED,
-                                     duration{3000}));
+    EXPECT_TRUE(
+        fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED, duration{3000}));
 }
 
 // Reports about a life of a server that seems to be the earlier one, because
