Keep the cell when an older answer of the store says that nobody owns it

The reply to a claim can overtake the answer of a watch that the store gave before the claim. The new owner then read "no owner", gave the cell up, and gained it again under the same epoch as soon as its cache had caught up.

Cause: an older state that names an owner was recognised by its revision, one without an owner has none. Now the state of the owner key comes with the revision of the store that it is of, and what is older than the key that is known is ignored.

Ruled out: never to resume an epoch that was given up. With the key still there and nobody acting under it, the cell would wait until its lease ends.

Before: claim.is_not_undone_by_an_older_state_of_the_store failed with the earlier condition.

--- a/modules/fleet/include/celerylift/fleet/leadership.hpp
+++ b/modules/fleet/include/celerylift/fleet/leadership.hpp
@@ -38,9 +38,11 @@
     /// out.
     void stop(std::function<void()> done);
 
-    /// Applies the owner key as the store holds it; the record is empty and the
-    /// revision 0 if there is none.
-    void on_owner_changed(const EntryRecord& owner, std::int64_t revision);
+    /// Applies the owner key as the store held it at the revision `as_of`; the
+    /// record is empty and the revision 0 if there was none. What is older than
+    /// the owner key that this entry knows is ignored.
+    void on_owner_changed(const EntryRecord& owner, std::int64_t revision,
+                          std::int64_t as_of);
 
     /// Releases the cell to another entry. This entry stops deciding at once,
     /// whatever the outcome of the call to the store.
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -229,7 +229,8 @@
 }
 
 void entry_node::update_leadership() {
-    leadership_.on_owner_changed(owner_record_, owner_revision_);
+    leadership_.on_owner_changed(owner_record_, owner_revision_,
+                                 cell_cache_.as_of());
     try_activate();
 }
 
--- a/modules/fleet/src/leadership.cpp
+++ b/modules/fleet/src/leadership.cpp
@@ -157,15 +157,15 @@
     if (reply.status == store_status::not_found && claimed.lease() == lease_)
         abandon_lease("the store lease has ended");
     if (reply.status == store_status::ok)
-        on_owner_changed(claimed, reply.revision);
+        on_owner_changed(claimed, reply.revision, reply.revision);
 }
 
 void leadership::on_owner_changed(const EntryRecord& owner,
-                                  std::int64_t revision) {
+                                  std::int64_t revision, std::int64_t as_of) {
     if (!std::exchange(owner_seen_, true))
         unowned_since_ = run_.now();
-    // The reply to a claim may arrive before the cache reports an older owner.
-    if (revision != 0 && revision < owner_revision_)
+    // The reply to a claim may arrive before the cache reports an older state.
+    if (as_of < owner_revision_)
         return;
     const bool changed = revision != owner_revision_;
     owner_ = owner;
--- a/tests/fleet/leader_preference_test.cpp
+++ b/tests/fleet/leader_preference_test.cpp
@@ -79,7 +79,7 @@
     sim.run_for(duration{50});
     // The claim takes effect, and the entry does not learn of it in time.
     store.fault = store_fault::lost_replies;
-    leadership.on_owner_changed({}, 0);
+    leadership.on_owner_changed({}, 0, 1);
     sim.run_for(duration{50});
     const auto claimed = store.get(std::string(fleet::owner_key));
     ASSERT_TRUE(claimed);
@@ -87,14 +87,40 @@
     sim.run_for(duration{2500});
     store.fault = store_fault::none;
     leadership.on_owner_changed(make_entry("b", 500, 200),
-                                claimed->revision - 1);
+                                claimed->revision - 1, claimed->revision - 1);
     sim.run_for(duration{1500});
     fleet::EntryRecord record;
     record.ParseFromString(claimed->value);
-    leadership.on_owner_changed(record, claimed->revision);
+    leadership.on_owner_changed(record, claimed->revision, claimed->revision);
     EXPECT_EQ(leadership.epoch(), 0);
 }
 
+// A watch that had been answered before the claim told the new owner that there
+// was none. It gave the cell up and gained it again under the same epoch.
+TEST(claim, is_not_undone_by_an_older_state_of_the_store) {
+    simulation sim;
+    virtual_store store{sim};
+    virtual_process process{"entry", sim.now, sim.log};
+    sim.add(&process);
+    const auto client = store.client("entry", process.liveness());
+    int losses = 0;
+    fleet::leadership leadership(process.runtime, *client,
+                                 make_entry("a", 500, 200),
+                                 {[](std::int64_t) {}, [&] { ++losses; },
+                                  [] { return std::optional{duration{0}}; }});
+    leadership.start();
+    sim.run_for(duration{50});
+    leadership.on_owner_changed({}, 0, 1);
+    sim.run_for(duration{50});
+    const auto epoch = leadership.epoch();
+    ASSERT_NE(epoch, 0);
+    leadership.on_owner_changed({}, 0, epoch - 1);
+    EXPECT_EQ(leadership.epoch(), epoch);
+    EXPECT_EQ(losses, 0);
+    leadership.on_owner_changed({}, 0, epoch + 1);
+    EXPECT_EQ(losses, 1);
+}
+
 // ---- In a fleet ----
 
 TEST(owner_of_low_capacity, hands_over_to_a_better_entry_without_a_long_pause) {
