Test a failure that its owner could not record, and an end that two owners learn

Neither had a test: the owner ends while the write of a gang's failure is not done, done and not answered, or done late; and a paused owner resumes after another one has applied the end.

--- a/tests/fleet/takeover_test.cpp
+++ b/tests/fleet/takeover_test.cpp
@@ -103,6 +103,52 @@
     expect_no_violations(fleet);
 }
 
+// A run has failed, and the owner ends before that is on record. Whether its
+// write took effect or not, the task starts once more, and the failure counts
+// once.
+class unrecorded_failure : public ::testing::TestWithParam<store_fault> {};
+
+TEST_P(unrecorded_failure, is_counted_once_by_the_next_owner) {
+    virtual_fleet fleet;
+    fleet.submit(make_gang(job_id(1), "ms=2500", 2, whole_server));
+    ASSERT_TRUE(fleet.sim.run_until([&] { return fleet.history.starts == 2; },
+                                    duration{2000}));
+    fleet.sim.run_for(duration{500});
+    const int owner = fleet.owner_entry();
+    fleet.store.client_faults[fmt::format("entry-{}", owner)] = GetParam();
+    fleet.server(server_of(fleet, job_id(1) + ".0.0.0")).fail_runs();
+    fleet.sim.run_for(duration{50});
+    fleet.kill_entry(owner);
+    fleet.store.client_faults.clear();
+    EXPECT_TRUE(fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED,
+                                     duration{12'000}, owner % 3 + 1));
+    EXPECT_EQ(fleet.history.starts, 4);
+    expect_no_violations(fleet);
+}
+
+INSTANTIATE_TEST_SUITE_P(whose_write, unrecorded_failure,
+                         ::testing::Values(store_fault::unresponsive,
+                                           store_fault::lost_replies,
+                                           store_fault::delayed_writes));
+
+// A paused owner learns of an end that the next owner has applied meanwhile,
+// and is told of it once more as it resumes.
+TEST(takeover, while_the_former_owner_is_paused_applies_an_end_once) {
+    virtual_fleet fleet;
+    fleet.submit(make_gang(job_id(1), "ms=2500", 2, whole_server));
+    ASSERT_TRUE(fleet.sim.run_until([&] { return fleet.history.starts == 2; },
+                                    duration{2000}));
+    const int former = fleet.owner_entry();
+    fleet.pause_entry(former, duration{3000});
+    fleet.server(server_of(fleet, job_id(1) + ".0.0.0")).fail_runs();
+    EXPECT_TRUE(fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED,
+                                     duration{12'000}, former % 3 + 1));
+    fleet.sim.run_for(duration{2000});
+    EXPECT_EQ(fleet.history.starts, 4);
+    EXPECT_NE(fleet.owner_entry(), former);
+    expect_no_violations(fleet);
+}
+
 // The record of a cancelled job is removed while an agent that has not carried
 // out the stop is away.
 TEST(takeover, after_a_record_was_removed_leaves_no_run_of_the_job) {
