Ignore each state of the owner key that is older than one that was applied

A state was compared with the owner key that the entry knew, and after "no owner" that was nothing. The reply to a claim, arriving after the watch had brought both the claim and the end of its lease, gave the cell back under an epoch that the store had removed; a lease granted just before made it valid, for as long as the next answer of the watch takes (two owners by the code; found by review, no run has shown it).

Now the revision of the last state that was applied is remembered, with or without an owner. Before: claim.whose_reply_comes_after_its_end_makes_no_owner failed.

--- a/modules/fleet/include/celerylift/fleet/leadership.hpp
+++ b/modules/fleet/include/celerylift/fleet/leadership.hpp
@@ -39,8 +39,8 @@
     void stop(std::function<void()> done);
 
     /// Applies the owner key as the store held it at the revision `as_of`; the
-    /// record is empty and the revision 0 if there was none. What is older than
-    /// the owner key that this entry knows is ignored.
+    /// record is empty and the revision 0 if there was none. A state that is
+    /// older than one that was applied is ignored.
     void on_owner_changed(const EntryRecord& owner, std::int64_t revision,
                           std::int64_t as_of);
 
@@ -93,6 +93,7 @@
     time_point unowned_since_{};         // Valid only while there is no owner.
     EntryRecord owner_;
     std::int64_t owner_revision_ = 0;
+    std::int64_t owner_as_of_ = 0;
     std::int64_t epoch_ = 0;
     time_point last_renewal_sent_at_{};
 };
--- a/modules/fleet/src/leadership.cpp
+++ b/modules/fleet/src/leadership.cpp
@@ -165,8 +165,9 @@
     if (!std::exchange(owner_seen_, true))
         unowned_since_ = run_.now();
     // The reply to a claim may arrive before the cache reports an older state.
-    if (as_of < owner_revision_)
+    if (as_of < owner_as_of_)
         return;
+    owner_as_of_ = as_of;
     const bool changed = revision != owner_revision_;
     owner_ = owner;
     if (owner_revision_ != 0 && revision == 0)
--- a/tests/fleet/leader_preference_test.cpp
+++ b/tests/fleet/leader_preference_test.cpp
@@ -121,6 +121,35 @@
     EXPECT_EQ(losses, 1);
 }
 
+// The reply to a claim arrives after the watch has brought the claim and its
+// end.
+TEST(claim, whose_reply_comes_after_its_end_makes_no_owner) {
+    simulation sim;
+    virtual_store store{sim};
+    virtual_process process{"entry", sim.now, sim.log};
+    sim.add(&process);
+    const auto client = store.client("entry", process.liveness());
+    fleet::leadership leadership(process.runtime, *client,
+                                 make_entry("a", 500, 200),
+                                 {[](std::int64_t) {}, [] {},
+                                  [] { return std::optional{duration{0}}; }});
+    leadership.start();
+    sim.run_for(duration{50});
+    leadership.on_owner_changed({}, 0, 1);
+    sim.run_for(duration{50});
+    const auto epoch = leadership.epoch();
+    ASSERT_NE(epoch, 0);
+    const auto claimed = store.get(std::string(fleet::owner_key));
+    ASSERT_TRUE(claimed);
+    fleet::EntryRecord record;
+    record.ParseFromString(claimed->value);
+    store.fault = store_fault::unresponsive;
+    leadership.on_owner_changed({}, 0, epoch + 5);
+    EXPECT_EQ(leadership.epoch(), 0);
+    leadership.on_owner_changed(record, epoch, epoch);
+    EXPECT_EQ(leadership.epoch(), 0);
+}
+
 // ---- In a fleet ----
 
 TEST(owner_of_low_capacity, hands_over_to_a_better_entry_without_a_long_pause) {
