Withdraw an announced end only once the server is seen to go on

A heartbeat that was handled just after the announcement withdrew a true end, and the tasks of the server waited for the end of their lease (6,865 ms instead of 65 ms in virtual time). And after a heartbeat with a far higher number, as another writer may send it, the server's own heartbeats were no newer ones, so that a late announcement kept work away for good (no job in 60 s).

Cause: the heartbeat alone decided, by its number. Now heartbeats only raise a doubt, whatever their number and not within the first second, and an answered poll that was sent after one withdraws the end.

Before: the two new tests failed by these figures. After: late_messages_test (9), agent_test (18), fleet_test (66) and crashing_tasks_test (44) pass.

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -74,6 +74,10 @@
     /// The server has announced its end. It counts as departed once nothing
     /// accepts connections at its address any more.
     bool has_announced_end = false;
+    time_point end_announced_at{};
+    /// A heartbeat has come long after the announcement. A poll that is sent
+    /// after it and answered shows that the server goes on.
+    std::optional<time_point> end_doubted_at{};
     bool stopping = false;
 
     /// A heartbeat of another incarnation than the one followed. It may be late
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -19,6 +19,9 @@
 constexpr duration poll_retry_delay{100};
 /// After a server has announced its end, which a refused connection confirms.
 constexpr duration departure_poll_delay{20};
+/// A server that still sends heartbeats this long after the announcement may
+/// not be ending. Earlier ones may have been under way.
+constexpr duration max_departure_time{1000};
 
 /// A server that has not replied for this long counts as departed once the
 /// lease of its runs has expired.
@@ -48,6 +51,7 @@
     self.incarnation = incarnation_of(heartbeat);
     self.departed = false;
     self.has_announced_end = false;
+    self.end_doubted_at.reset();
     self.incarnation_confirmed = false;
     ++self.incarnation_number;
     self.clock_known = false;
@@ -132,6 +136,24 @@
            reply.started_unix_ms == heartbeat.started_unix_ms;
 }
 
+/// The announcement was of an earlier incarnation.
+void withdraw_end(agent& self) {
+    self.has_announced_end = false;
+    self.end_doubted_at.reset();
+    self.run.journal.event("server_end_withdrawn",
+                           {{"incarnation", self.incarnation}});
+    send_report(self);
+}
+
+void doubt_announced_end(agent& self) {
+    const auto now = self.run.now();
+    if (!self.has_announced_end || self.end_doubted_at ||
+        now < self.end_announced_at + max_departure_time)
+        return;
+    self.end_doubted_at = now;
+    self.poll_requested = true;
+}
+
 /// A server that has announced its end is gone once it refuses connections.
 void confirm_announced_end(agent& self, server_status status) {
     if (status != server_status::unreachable || !self.has_announced_end ||
@@ -168,6 +190,8 @@
         return;
     }
     note_return(self);
+    if (self.end_doubted_at && requested_at >= *self.end_doubted_at)
+        withdraw_end(self);
     self.incarnation_confirmed = true;
     self.last_reply_at = self.run.now();
     // Replies on two connections can arrive out of order. An older list would
@@ -263,16 +287,6 @@
     send_report(self);
 }
 
-/// Handles a heartbeat of a server that has announced its end: the announcement
-/// was of an earlier incarnation.
-void withdraw_end(agent& self) {
-    if (!std::exchange(self.has_announced_end, false))
-        return;
-    self.run.journal.event("server_end_withdrawn",
-                           {{"incarnation", self.incarnation}});
-    send_report(self);
-}
-
 } // namespace
 
 bool on_heartbeat(agent& self, const server_heartbeat& heartbeat) {
@@ -284,7 +298,6 @@
         self.announced = heartbeat;
         self.next_identity_poll_at = {};
     } else if (heartbeat.sequence > self.last_heartbeat.sequence) {
-        withdraw_end(self);
         const bool changed = heartbeat.draining != self.last_heartbeat.draining;
         apply_heartbeat(self, heartbeat);
         if (changed) {
@@ -296,6 +309,8 @@
             send_report(self);
         }
     }
+    if (self.incarnation == incarnation_of(heartbeat))
+        doubt_announced_end(self);
     send_due_calls(self);
     return true;
 }
@@ -304,6 +319,7 @@
     if (id != self.last_heartbeat.id || self.departed ||
         std::exchange(self.has_announced_end, true))
         return;
+    self.end_announced_at = self.run.now();
     self.run.journal.event("server_end_announced",
                            {{"incarnation", self.incarnation}});
     send_report(self);
--- a/tests/fleet/late_messages_test.cpp
+++ b/tests/fleet/late_messages_test.cpp
@@ -132,6 +132,41 @@
     EXPECT_TRUE(fleet.history.violations.empty());
 }
 
+/// Returns how long it takes until the task of a server that is gone is started
+/// again.
+duration time_to_restart(virtual_fleet& fleet) {
+    const auto gone_at = fleet.sim.now;
+    fleet.sim.run_until([&] { return fleet.history.starts == 2; },
+                        duration{20'000});
+    return fleet.sim.now - gone_at;
+}
+
+// Heartbeats that were under way are handled after the announcement.
+TEST(announced_end, is_not_withdrawn_by_a_heartbeat_that_was_under_way) {
+    virtual_fleet fleet;
+    const int n = start_long_task(fleet);
+    ASSERT_NE(n, 0);
+    fleet::on_departure(fleet.agent(n), fleet.server(n).id());
+    fleet.sim.run_for(duration{600});
+    fleet.server(n).leave();
+    EXPECT_LT(time_to_restart(fleet), duration{1000});
+    EXPECT_TRUE(fleet.history.violations.empty());
+}
+
+// A heartbeat of another writer has a far higher number than those of the
+// server.
+TEST(late_departure, is_withdrawn_whatever_the_number_of_the_next_heartbeat) {
+    virtual_fleet fleet({3, 1, 1});
+    auto foreign = fleet.agent(1).last_heartbeat;
+    foreign.sequence += 1'000'000;
+    fleet::on_heartbeat(fleet.agent(1), foreign);
+    fleet::on_departure(fleet.agent(1), fleet.server(1).id());
+    fleet.sim.run_for(duration{3000});
+    fleet.submit(make_job(job_id(1), "ms=300", 1, small));
+    EXPECT_TRUE(
+        fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED, duration{3000}));
+}
+
 // The next life of a server whose earlier end is announced late gets work
 // again.
 TEST(late_departure, of_an_earlier_life_keeps_no_work_away) {
