Follow no heartbeat without a start if its server states one

An agent that had just started followed another writer's heartbeat with its own server's id and without `born`: the server's reply was taken for one of any life. The server's own heartbeat then named a new life, the first one counted as crashed, and the tasks that ran there as suspects. Two such cases can end a job as failed (rule LOST; found by review, no run of processes has shown it).

Cause: a missing start matched each start. Servers state theirs in heartbeats and replies or in neither. Now a missing one matches only a missing one.

Before: heartbeat_without_a_start.counts_no_crash_at_an_agent_that_has_started failed. After: late_messages_test (10), agent_test (18), fleet_test (66) and fleet_matrix_test (488) pass.

--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -130,9 +130,10 @@
          {"departed_ms", (self.run.now() - self.departed_at).count()}});
 }
 
-/// Whether a reply to a poll comes from the incarnation of a heartbeat.
+/// Whether a reply to a poll comes from the incarnation of a heartbeat. A
+/// server that states its start in replies states it in heartbeats too.
 bool is_from(const poll_reply& reply, const server_heartbeat& heartbeat) {
-    return reply.started_unix_ms == 0 || heartbeat.started_unix_ms == 0 ||
+    return reply.started_unix_ms == 0 ||
            reply.started_unix_ms == heartbeat.started_unix_ms;
 }
 
--- a/tests/fleet/late_messages_test.cpp
+++ b/tests/fleet/late_messages_test.cpp
@@ -84,6 +84,23 @@
     expect_one_run(fleet);
 }
 
+// Another writer's heartbeat lacks the start of the server. Each server of an
+// agent that had just started was taken for two, and the first one for crashed.
+TEST(heartbeat_without_a_start, counts_no_crash_at_an_agent_that_has_started) {
+    virtual_fleet fleet;
+    const int n = start_long_task(fleet);
+    ASSERT_NE(n, 0);
+    fleet.kill_agent(n);
+    fleet.start_agent(n);
+    auto foreign = fleet.server(n).heartbeat();
+    foreign.started_unix_ms = 0;
+    fleet::on_heartbeat(fleet.agent(n), foreign);
+    fleet.sim.run_for(duration{3000});
+    for (const auto& line : fleet.sim.log)
+        EXPECT_EQ(line.find("task_suspected"), std::string::npos) << line;
+    expect_one_run(fleet);
+}
+
 // Its agent is heard again, at the latest once the grant has ended.
 TEST(agent_whose_clock_starts_anew, is_heard_once_the_grant_has_ended) {
     virtual_fleet fleet;
