Poll a server that was replaced at intervals

Now it waits 100 ms, as after other replies without a result, and reports the departure once.

Tried and taken back: to give up the runs as soon as the same id answers for another start.

Before: single_agent.polls_a_server_that_was_replaced_at_intervals failed. After: agent_test (19), late_messages_test (10), fleet_test (66), fleet_matrix_test (488), crashing_tasks_test (44) and reported_failures_test (27) pass.

--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -155,6 +155,18 @@
     self.poll_requested = true;
 }
 
+/// Handles a reply of a server with another id at the server's address: the one
+/// that is followed has ended.
+void handle_replacement(agent& self) {
+    self.next_long_poll_at = self.run.now() + poll_retry_delay;
+    if (self.departed)
+        return;
+    mark_departed(self);
+    self.run.journal.event("server_replaced",
+                           {{"incarnation", self.incarnation}});
+    send_report(self);
+}
+
 /// A server that has announced its end is gone once it refuses connections.
 void confirm_announced_end(agent& self, server_status status) {
     if (status != server_status::unreachable || !self.has_announced_end ||
@@ -168,13 +180,8 @@
 
 void handle_poll_reply(agent& self, const poll_reply& reply,
                        time_point requested_at) {
-    if (reply.status == server_status::other_incarnation) {
-        self.run.journal.event("server_replaced",
-                               {{"incarnation", self.incarnation}});
-        mark_departed(self);
-        send_report(self);
-        return;
-    }
+    if (reply.status == server_status::other_incarnation)
+        return handle_replacement(self);
     if (reply.status != server_status::ok) {
         confirm_announced_end(self, reply.status);
         self.incarnation_confirmed = false;
@@ -186,6 +193,8 @@
     }
     if (!is_from(reply, self.last_heartbeat)) {
         // A new incarnation of the same id, whose heartbeat has not come yet.
+        // Starts of the one before may still reach it, so the runs are not
+        // given up yet.
         self.incarnation_confirmed = false;
         self.next_long_poll_at = self.run.now() + poll_retry_delay;
         return;
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -350,6 +350,17 @@
     EXPECT_EQ(fixture.report.server().incarnation(), "i-2@9");
 }
 
+// The agent polled without a pause, and reported each reply to the owner.
+TEST(single_agent, polls_a_server_that_was_replaced_at_intervals) {
+    agent_fixture fixture;
+    fixture.server.disown();
+    ASSERT_TRUE(fixture.report.server().departed());
+    EXPECT_TRUE(fixture.server.polls.empty());
+    fixture.sim.now += duration{120};
+    fleet::on_tick(fixture.agent);
+    EXPECT_EQ(fixture.server.polls.size(), 1U);
+}
+
 // Refused connections alone don't show that a server has ended.
 TEST(single_agent, takes_a_server_for_departed_once_its_announced_end_shows) {
     agent_fixture fixture;
