--- a/tests/fleet/late_messages_test.cpp
+++ b/tests/fleet/late_messages_test.cpp
@@ -84,6 +84,68 @@
     expect_one_run(fleet);
 }
 
+// A report of an earlier life whose start seems to be the later one, because
+// the clock of the host went back.
+TEST(late_report, about_a_life_that_seems_to_be_later_loses_no_run) {
+    virtual_fleet fleet;
+    const int n = start_long_task(fleet);
+    ASSERT_NE(n, 0);
+    fleet::AgentReport report;
+    report.set_failure_domain("za-north-a");
+    report.set_sent_at_ms(1);
+    report.mutable_server()->set_incarnation(
+        fmt::format("server-{}@{}", n, 9'000'000));
+    report.mutable_server()->set_service("order-desk");
+    inject(fleet, n, report);
+    fleet.sim.run_for(duration{3000});
+    expect_one_run(fleet);
+}
+
+// A start is carried out late by the next life of the server, which does not
+// know that the run was fenced in the life before.
+TEST(late_start, in_the_next_life_of_a_server_begins_no_second_run) {
+    virtual_fleet fleet;
+    int n = 0;
+    const auto set_faults = [&](call_fault fault) {
+        for (int i = 1; i <= 6; ++i) {
+            fleet.server(i).fault = fault;
+            fleet.server(i).next_incarnation_takes_calls = true;
+        }
+    };
+    set_faults(call_fault::delayed);
+    fleet.submit(make_job(job_id(1), "ms=9000", 1, small));
+    fleet.sim.run_until(
+        [&] {
+            for (int i = 1; i <= 6; ++i)
+                n = fleet.agent(i).orders.empty() ? n : i;
+            return n != 0;
+        },
+        duration{3000});
+    fleet.sim.run_for(duration{5});
+    set_faults(call_fault::none);
+    fleet.sim.run_for(duration{1700});
+    ASSERT_NE(n, 0);
+    fleet.server(n).restart();
+    fleet.sim.run_for(duration{4000});
+    for (const auto& violation : fleet.history.violations)
+        ADD_FAILURE() << violation;
+}
+
+// Another writer's heartbeat has the id and the start of the agent's own
+// server.
+TEST(foreign_heartbeat, of_the_life_that_is_followed_exceeds_no_capacity) {
+    virtual_fleet fleet({3, 1, 1});
+    auto foreign = fleet.agent(1).last_heartbeat;
+    foreign.sequence += 1'000'000;
+    foreign.capacity = {1'000'000, 1'000'000, 100};
+    fleet::on_heartbeat(fleet.agent(1), foreign);
+    fleet::report_now(fleet.agent(1));
+    fleet.submit(make_job(job_id(1), "ms=3000", 9, small));
+    fleet.sim.run_for(duration{1000});
+    for (const auto& violation : fleet.history.violations)
+        ADD_FAILURE() << violation;
+}
+
 // Another writer's heartbeat lacks the start of the server. Each server of an
 // agent that had just started was taken for two, and the first one for crashed.
 TEST(heartbeat_without_a_start, counts_no_crash_at_an_agent_that_has_started) {
