Give the soak's backend server a file of its own

Cause: standins.py holds the store, the backend server, the links and the callers, and the server is to get more behaviour.

Change: the class Server moves to server.py.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -7,7 +7,8 @@
 import subprocess
 from dataclasses import replace
 
-from standins import (Caller, Link, Port, Server, Store, fleet, now_ms,
+from server import Server
+from standins import (Caller, Link, Port, Store, fleet, now_ms,
                       first_to_carry_out)
 
 GRACE_MS = 6000
