Soak gangs, servers that leave and foreign status reports

What operators saw on earlier code: two runs of a task at once (TWICE) after a report that no backend server had sent arrived under a server's id. The soak has no such reports, no gangs, and its servers only crash.

Change: an option, `--mix leaving`, adds gangs (their members work once all are present, end `done` together, `broken` when another has ended, `alone` after gang_timeout_ms), more tasks whose first one or two runs fail, servers that drain, announce their end and come back under the same or another id, and twelve forms of reports of another writer. `--mix foreign` has these reports as its only faults.

A server ends, with all that it runs, at the moment it announces its end. One that served on until it had an answer would show two runs at once where the protocol has none.

Not checked: GANG and DRAIN, which hold only for machines in touch.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -1,12 +1,14 @@
 """The processes of a fleet, its stand-ins, and the faults."""
 import asyncio
 import os
+import random
 import re
 import shutil
 import signal
 import subprocess
 from dataclasses import replace
 
+import foreign_reports
 from server import Server
 from standins import (Caller, Link, Port, Store, fleet, now_ms,
                       first_to_carry_out)
@@ -33,6 +35,7 @@
         self.told, self.launched, self.delays = {}, {}, {}
         self.broken = []
         self.jobs = {}
+        self.working = {}   # Members of complete gangs: since when.
         self.callers = [Caller(self) for _ in range(10)]
 
     def entry_host(self, n):
@@ -231,6 +234,8 @@
         server = self.server_of(fault)
         if kind == "crash":
             return await self.crash(server, fault)
+        if kind == "leave":
+            return await self.leave(server, fault)
         if kind == "refuse":
             port = server.server
             if fault.share < 0.75:
@@ -259,6 +264,34 @@
         await self.add_server(server.number, server.life + 1,
                               server.id if fault.share < 0.7 else None)
 
+    async def leave(self, server, fault):
+        """Planned: it drains, announces its end and comes back anew."""
+        if not server.up or server.is_draining:
+            return
+        await server.drain(int(400 * fault.seconds))
+        if not server.up:   # It has crashed.
+            return
+        is_answer_lost = fault.share < 0.5
+        server.leave(answer_s=0.005 if is_answer_lost else 1)
+        await asyncio.sleep(fault.delay)
+        await self.add_server(server.number, server.life + 1,
+                              server.id if fault.pick * 100 % 1 < 0.6
+                              else None)
+
+    async def disturb_writer(self, _, fault):
+        """Another writer sends status reports to the agent of a server."""
+        number = self.server_of(fault).number
+        rng = random.Random(fault.pick)
+        forms = foreign_reports.choose_forms(rng)
+        end = now_ms() + 1000 * fault.seconds
+        while now_ms() < end:
+            server = self.runners[number]
+            name, body = foreign_reports.spoil(rng.choice(forms), server)
+            await fleet.request(self.heartbeat_host, server.agent_port, "PUT",
+                                f"/api/instances/{name}", body,
+                                {"Host": self.heartbeat_host}, timeout=1.0)
+            await asyncio.sleep(fault.delay / 3)
+
     async def disturb_link(self, _, fault):
         number = self.server_of(fault).number
         entries = self.fronts if fault.share < 0.5 else [self.owner()]
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -12,6 +12,10 @@
     "store_refuse": 4, "store_silent": 1, "store_busy": 1, "store_lose": 2,
     "store_late": 2, "server_refuse": 4, "server_silent": 2, "server_lose": 2,
     "server_late": 2, "server_crash": 1}
+FOREIGN = {"writer_reports": 5}
+LEAVING = {"server_leave": 10}
+MIXES = {"plain": FAULTS, "leaving": {**FAULTS, **LEAVING, **FOREIGN},
+         "foreign": FOREIGN}
 
 
 @dataclass
@@ -70,12 +74,24 @@
                max_tries=rng.choice([1, 1, 2, 5]))
 
 
-def choose_faults(rng, moments):
+def vary_job(rng, job):
+    """Makes it a gang or lets its first runs fail, or both, or neither."""
+    spec = json.loads(job.spec)
+    if rng.random() < 0.3 and "fail_runs" not in spec:
+        spec.update(fail_runs=rng.choice([[1], [1, 2]]),
+                    fail_ms=rng.randint(100, 1500))
+    if rng.random() < 0.75 and len(job.steps) == 1:
+        job.steps[0]["gang"] = True
+        spec.update(gang=job.steps[0]["count"], fail_index=0)
+    job.spec = json.dumps(spec)
+
+
+def choose_faults(rng, moments, weights):
     """Two to four faults around each moment, most of them on one target."""
     faults = []
     for moment in moments:
         pick = rng.random()
-        for kind in rng.choices(list(FAULTS), FAULTS.values(),
+        for kind in rng.choices(list(weights), weights.values(),
                                 k=rng.randint(2, 4)):
             faults.append(Fault(moment + rng.uniform(0, 1.5), kind,
                                 pick if rng.random() < 0.7 else rng.random(),
@@ -96,12 +112,17 @@
 
 
 class Plan:
-    def __init__(self, seed, seconds):
+    """`mix` names the faults. All mixes but the plain one have gangs."""
+
+    def __init__(self, seed, seconds, mix="plain"):
         rng = random.Random(seed)
         self.entries, self.servers = 3, rng.randint(6, 11)
         moments = [rng.uniform(1, seconds - 2)
                    for _ in range(max(1, round(seconds / 4)))]
-        self.faults = choose_faults(rng, moments)
+        self.faults = choose_faults(rng, moments, MIXES[mix])
         self.jobs = [choose_job(rng, at, self.entries)
                      for at in choose_times(rng, seconds, moments)]
         self.clock_rates = [rng.uniform(0.98, 1) for _ in range(self.servers)]
+        if mix != "plain":
+            for job in self.jobs:
+                vary_job(rng, job)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,6 +5,8 @@
     tests/soak/soak.py --seeds 1-20 --jobs 2    several, two at a time
       --seconds S        how long callers submit jobs and faults begin (26)
       --binaries FOLDER  a build folder (target) or a clone that holds one
+      --mix MIX          which faults: plain (without the option), leaving or
+                         foreign, see below
       --keep FOLDER      where the logs of failing seeds go
       --all              keep those of seeds that held, too
 
@@ -13,6 +15,11 @@
 the jobs, the faults and their times. Processes run in real time, so a seed
 that failed may pass the next time: keep its logs.
 
+The mix `leaving` adds to the plain one: gangs, more tasks whose first runs
+fail, servers that drain, announce their end and come back, and status reports
+of another writer. `foreign` has the same tasks, and as faults these reports
+alone.
+
 One line is printed for each seed: "held", or the rules that were broken, each
 with the task or process and the times in ms since the start. The checks use
 only what callers and backend servers saw:
@@ -42,7 +49,7 @@
 
 from checks import MAX_ATTEMPTS, Checks
 from deployment import Soak
-from plan import Plan
+from plan import MIXES, Plan
 from standins import fleet, now_ms
 
 FINISH_S = 45
@@ -96,9 +103,9 @@
         self.file.flush()
 
 
-async def run_seed(seed, seconds, binaries, folder):
+async def run_seed(plan, binaries, folder):
     fleet.Record = QuietRecord
-    soak = Soak(Plan(seed, seconds), folder, binaries)
+    soak = Soak(plan, folder, binaries)
     work = asyncio.ensure_future(play_seed(soak, Checks(soak)))
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, work.cancel)
     try:
@@ -119,8 +126,8 @@
 def run_here(options, binaries):
     """Runs one seed in this process."""
     folder = tempfile.mkdtemp(prefix=f"celerylift-soak-{options.seed}-")
-    broken, status, counts = asyncio.run(
-        run_seed(options.seed, options.seconds, binaries, folder))
+    plan = Plan(options.seed, options.seconds, options.mix)
+    broken, status, counts = asyncio.run(run_seed(plan, binaries, folder))
     if status == HELD and not options.all:
         shutil.rmtree(folder, ignore_errors=True)
     elif options.keep:
@@ -137,7 +144,8 @@
 def run_many(options, seeds):
     """Runs each seed in a process of its own, `jobs` at a time."""
     command = [sys.executable, os.path.abspath(__file__), "--seconds",
-               str(options.seconds), "--binaries", options.binaries]
+               str(options.seconds), "--binaries", options.binaries,
+               "--mix", options.mix]
     command += ["--all"] * options.all
     if options.keep:
         command += ["--keep", options.keep]
@@ -162,6 +170,7 @@
     parser.add_argument("--seconds", type=float, default=26)
     parser.add_argument("--binaries", default=os.path.join(fleet.ROOT,
                                                            "target"))
+    parser.add_argument("--mix", choices=MIXES, default="plain")
     parser.add_argument("--keep")
     parser.add_argument("--all", action="store_true")
     options = parser.parse_args()
