Count runs that end with their server while the agent is away

Ruled out: a count that a takeover loses (the record held each counted crash), and crashes reported out of order. Such a loss can't be told from a host that loses power, so it can't count as a crash by itself: five such hosts in a row must not end a job.

Change: the owner counts these runs apart, as unexplained losses, in the job's record. Once a server has crashed with no other job there, four crashes and losses in all end the job; before, only the crashes counted.

--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -27,6 +27,9 @@
     /// them ran only tasks of its job then.
     int crashes = 0;
     int sole_crashes = 0;
+    /// Runs that ended with their server while its agent was away as well: the
+    /// server may have crashed, or the host may have lost power.
+    int unexplained_losses = 0;
     /// The latest runs whose crash was counted, in order.
     std::vector<int> crashed_runs;
     std::string agent;
--- a/modules/fleet/src/jobs.cpp
+++ b/modules/fleet/src/jobs.cpp
@@ -109,6 +109,7 @@
         task->failures = record.failures();
         task->crashes = record.crashes();
         task->sole_crashes = record.sole_crashes();
+        task->unexplained_losses = record.unexplained_losses();
         task->crashed_runs.assign(record.crashed_runs().begin(),
                                   record.crashed_runs().end());
         // A record of an earlier version has the last run only.
@@ -145,6 +146,7 @@
                 out->set_failures(task.failures);
                 out->set_crashes(task.crashes);
                 out->set_sole_crashes(task.sole_crashes);
+                out->set_unexplained_losses(task.unexplained_losses);
                 if (!task.crashed_runs.empty())
                     out->set_crashed_run(task.crashed_runs.back());
                 out->mutable_crashed_runs()->Assign(task.crashed_runs.begin(),
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -59,6 +59,7 @@
         task.incarnation = report.server().incarnation();
         return;
     }
+    count_unexplained_loss(self, task);
     if (task.seen_running)
         return lose_run(self, task, "its backend server has restarted");
     // The start may still be in flight, so the run must be fenced first.
--- a/modules/fleet/src/owner_crashes.cpp
+++ b/modules/fleet/src/owner_crashes.cpp
@@ -16,6 +16,10 @@
 /// Crashes in all after which it is given up. Bounds the crashes of a task that
 /// has to share its servers.
 constexpr int max_crashes = 4;
+/// Crashes and unexplained losses after which it is given up, once a server has
+/// crashed with no other job there. Without such a crash, losses may all come
+/// from hosts that lose power.
+constexpr int max_crashes_and_losses = 4;
 /// Runs of a task whose crash is known to be counted. More than `max_crashes`,
 /// because a long run clears its task but not these.
 constexpr std::size_t max_remembered_runs = 8;
@@ -71,12 +75,17 @@
         task.crashed_runs.erase(task.crashed_runs.begin());
 }
 
+void clear_counts(task& task) {
+    task.crashes = 0;
+    task.sole_crashes = 0;
+    task.unexplained_losses = 0;
+}
+
 void count_crash(owner& self, const server& server, job& job, task& task,
                  const ServerCrash& crash, int run) {
     remember_run(task, run);
     if (outlived_suspicion(self, task)) {
-        task.crashes = 0;
-        task.sole_crashes = 0;
+        clear_counts(task);
     } else {
         ++task.crashes;
         task.sole_crashes += hit_one_job(crash) ? 1 : 0;
@@ -90,10 +99,20 @@
                             {"incarnation", crash.incarnation()},
                             {"active_runs", crash.active_runs_size()},
                             {"crashes", task.crashes},
-                            {"sole_crashes", task.sole_crashes}});
+                            {"sole_crashes", task.sole_crashes},
+                            {"unexplained_losses", task.unexplained_losses}});
     self.run.metrics.count("server_crashes_counted_total");
 }
 
+bool is_given_up(const job& job, const task& task) {
+    const int max_sole = step_of(job, task.name).lasting()
+                             ? max_sole_crashes_of_lasting_work
+                             : max_sole_crashes;
+    return task.sole_crashes >= max_sole || task.crashes >= max_crashes ||
+           (task.sole_crashes > 0 &&
+            task.crashes + task.unexplained_losses >= max_crashes_and_losses);
+}
+
 void apply_crash(owner& self, server& server, const ServerCrash& crash,
                  const RunName& run) {
     auto* task = find_task(self, run);
@@ -105,12 +124,7 @@
         count_crash(self, server, job, *task, crash, run.run());
     if (has_lost_run(server, *task, crash, run.run()))
         lose_run(self, *task, "its backend server has crashed");
-    const int max_sole = step_of(job, task->name).lasting()
-                             ? max_sole_crashes_of_lasting_work
-                             : max_sole_crashes;
-    const bool is_given_up =
-        task->sole_crashes >= max_sole || task->crashes >= max_crashes;
-    if (is_given_up && !is_final(job.state))
+    if (is_given_up(job, *task) && !is_final(job.state))
         fail_job(self, job, *task, "servers crash under it");
 }
 
@@ -134,6 +148,15 @@
     }
 }
 
+void count_unexplained_loss(owner& self, task& task) {
+    if (is_counted(task, task.run) || is_final(task))
+        return;
+    if (outlived_suspicion(self, task))
+        clear_counts(task);
+    else
+        ++task.unexplained_losses;
+}
+
 bool is_suspect(const task& task) {
     return task.crashes > 0;
 }
@@ -147,8 +170,7 @@
 void clear_suspect(owner& self, job& job, task& task) {
     if (!is_suspect(task) || !outlived_suspicion(self, task))
         return;
-    task.crashes = 0;
-    task.sole_crashes = 0;
+    clear_counts(task);
     invalidate_usage(self, task.agent);
     mark_changed(self, job);
 }
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -48,6 +48,10 @@
 /// jobs with a task that crashes one server after the other.
 void apply_crashes(owner& self, server& server, const AgentReport& report);
 
+/// Counts a run that an earlier incarnation of its server has ended with,
+/// unless the agent has reported a crash there.
+void count_unexplained_loss(owner& self, task& task);
+
 /// Whether a server has crashed under the task, and no run has cleared the task
 /// since. Suspects share a server only with tasks of their own job, so that
 /// another crash tells which job is at fault, and hits no other.
