Limit what all clients of a process hold together

Clients that sent many bodies of legal size at once, whole, in pieces or in chunks, and left them incomplete, made an entry use 350 MB and more of its 260 and an agent 187 of its 128. Connections that sent nothing kept a new caller waiting until they timed out, and over three addresses took more descriptors than the process has.

Cause: each body and each address had a limit, and nothing counted what all of them hold. A body over its limit was read on and its beginning kept until the end; requests that wait for the store were not bounded at all.

Ruled out: a lower limit a body or an address. It refuses single requests inside the limits long before the sum of many is safe.

All HTTP servers of a process now share one budget, a plain struct with functions (request_budget) apart from the sockets: - bodies and header fields count from their first byte until their response has been sent, responses until they are read. Beyond the budget, the oldest incomplete requests are closed and their buffers freed at once; - at the limit of connections the one that has been without a complete request for longest is closed for the new one; half of the descriptors stay with the process; - complete requests that would wait beyond the budget get 503 with Retry-After before anything handles them; small ones have room of their own; - a body that is announced too large gets 413 unread, a chunked one is closed once it is over the limit. It was answered 413 after its end before; - header, body and response have 60 s each, however active the client is. Refusals are counted by reason in clients_refused_total, and logged at most once in 10 s.

--- a/modules/host/include/celerylift/host/fleet_settings.hpp
+++ b/modules/host/include/celerylift/host/fleet_settings.hpp
@@ -3,6 +3,7 @@
 #include <celerylift/base/settings_reader.hpp>
 #include <celerylift/error.hpp>
 #include <celerylift/fleet/scheduling_policy.hpp>
+#include <celerylift/net/request_budget.hpp>
 
 #include <string>
 #include <vector>
@@ -22,6 +23,7 @@
     /// leads.
     double processor_share = 1.0; // Of a core.
     double link_mbps = 1000.0;
+    net::client_limits clients = net::derive_client_limits(260, 4100);
     /// Entries to connect to first. Some may no longer exist; one is this
     /// entry.
     std::vector<base::address> entries;
@@ -37,6 +39,7 @@
     base::address heartbeats; // Where the backend server sends heartbeats.
     base::address backend_server;
     base::address metrics;
+    net::client_limits clients = net::derive_client_limits(128, 4096);
     /// Entries to connect to first. Some may no longer exist.
     std::vector<base::address> entries;
 
--- a/modules/host/include/celerylift/host/process_context.hpp
+++ b/modules/host/include/celerylift/host/process_context.hpp
@@ -6,6 +6,8 @@
 #include <celerylift/net/control_loop.hpp>
 #include <celerylift/net/http_client.hpp>
 
+#include <array>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,7 +18,7 @@
 /// journal, metrics and HTTP client.
 class process_context {
 public:
-    explicit process_context(const std::string& name);
+    process_context(const std::string& name, const net::client_limits& limits);
 
     /// Serves the metrics as text over HTTP.
     void serve_metrics(const base::address& at);
@@ -27,11 +29,18 @@
     base::metrics metrics;
     net::http_client client;
     fleet::runtime run;
+    /// Shared by all HTTP servers of the process.
+    std::shared_ptr<net::client_budget> clients;
 
 private:
     void wake_at(time_point at);
+    void check_clients(time_point now);
 
     std::optional<time_point> wakes_at_;
+    time_point next_client_check_{};
+    time_point next_refusal_event_{};
+    std::array<std::uint64_t, net::refusal_kinds> counted_{};
+    std::uint64_t logged_refusals_ = 0;
     std::unique_ptr<net::async_http_server> metrics_server_;
 };
 
--- a/modules/host/src/fleet_agent.cpp
+++ b/modules/host/src/fleet_agent.cpp
@@ -8,7 +8,7 @@
 namespace celerylift::host {
 
 fleet_agent::fleet_agent(const fleet_agent_settings& settings)
-    : settings_(settings), context_(settings.name),
+    : settings_(settings), context_(settings.name, settings.clients),
       links_(context_.loop, settings.name,
              [this](const std::string& from, std::string_view bytes) {
                  handle_message(from, bytes);
@@ -26,7 +26,8 @@
         [this](const net::served_request& request,
                const net::responder& respond) {
             serve_heartbeat_port(request, respond);
-        });
+        },
+        context_.clients);
     context_.serve_metrics(settings_.metrics);
     std::vector<std::string> entries;
     for (const auto& entry : settings_.entries)
--- a/modules/host/src/fleet_entry.cpp
+++ b/modules/host/src/fleet_entry.cpp
@@ -43,7 +43,7 @@
 } // namespace
 
 fleet_entry::fleet_entry(const fleet_entry_settings& settings)
-    : settings_(settings), context_(settings.name),
+    : settings_(settings), context_(settings.name, settings.clients),
       links_(context_.loop, settings.name,
              [this](const std::string& from, std::string_view bytes) {
                  handle_message(from, bytes);
@@ -65,13 +65,15 @@
         [this](const net::served_request& request, net::responder respond) {
             adapter::serve_caller(node_.api(), request, context_.run.now(),
                                   std::move(respond));
-        });
+        },
+        context_.clients);
     readiness_ = std::make_unique<net::async_http_server>(
         context_.loop, settings_.readiness, net::http_server_limits{},
         [this](const net::served_request& request,
                const net::responder& respond) {
             serve_readiness(request, respond);
-        });
+        },
+        context_.clients);
     context_.serve_metrics(settings_.metrics);
     node_.start();
     context_.loop.on_termination([this] { stop(); });
--- a/modules/net/include/celerylift/net/async_http_server.hpp
+++ b/modules/net/include/celerylift/net/async_http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celerylift/net/client_budget.hpp>
 #include <celerylift/net/control_loop.hpp>
 #include <celerylift/net/http_server.hpp>
 
@@ -10,13 +11,12 @@
 
 namespace celerylift::net {
 
-/// Limits that the server applies to its clients.
+/// Limits that the server applies to each of its clients.
 struct http_server_limits {
     std::size_t max_header_bytes = 16UL * 1024;
     std::size_t max_body_bytes = 256UL * 1024;
     /// Idle connections are closed after this time.
     duration idle_timeout{15'000};
-    unsigned max_connections = 2000;
 
     bool operator==(const http_server_limits&) const = default;
 };
@@ -31,9 +31,12 @@
 public:
     using handler = std::function<void(served_request, responder)>;
 
-    /// Throws std::runtime_error if it cannot listen on the address.
+    /// `budget` is what the clients of all servers that share it may hold;
+    /// without one, the server has its own. Throws std::runtime_error if it
+    /// cannot listen on the address.
     async_http_server(control_loop& loop, const base::address& at,
-                      const http_server_limits& limits, handler handle);
+                      const http_server_limits& limits, handler handle,
+                      std::shared_ptr<client_budget> budget = nullptr);
     ~async_http_server();
     async_http_server(const async_http_server&) = delete;
     async_http_server& operator=(const async_http_server&) = delete;
