Derive what clients may hold from the settings' memory and descriptors

The limits on clients suited the default machines of entries and agents alone, whatever machine a process ran on. Entries and agents now read limits.memory_mb and limits.max_fds, which the platform fills in. Left out or 0, the defaults stay: 260 MB and 4,100 descriptors, 128 MB and 4,096.

Ruled out: reading the machine's memory from the system, which says nothing of the limit of one process where several share a machine.

Before, the settings with these keys were rejected as unknown.

--- a/modules/host/src/fleet_settings.cpp
+++ b/modules/host/src/fleet_settings.cpp
@@ -11,6 +11,9 @@
 constexpr double max_cores = 1024;
 constexpr double max_link_mbps = 1e6;
 
+constexpr std::int64_t max_memory_mb = 1 << 20;
+constexpr std::int64_t max_descriptors = 1 << 20;
+
 error settings_error(const base::settings_reader& reader) {
     return {error_kind::invalid_argument, reader.first_error(),
             run_state::not_run, duration{0}};
@@ -31,6 +34,18 @@
     return entries;
 }
 
+/// Reads what clients may hold from the memory and the descriptors of the
+/// machine. The settings name both or neither; 0 stands for the default.
+void read_client_limits(base::settings_reader& limits,
+                        net::client_limits& clients) {
+    if (!limits.has("memory_mb") && !limits.has("max_fds"))
+        return;
+    const auto memory = limits.number("memory_mb", 0, max_memory_mb);
+    const auto descriptors = limits.number("max_fds", 0, max_descriptors);
+    if (memory > 0 && descriptors > 0)
+        clients = net::derive_client_limits(memory, descriptors);
+}
+
 /// Reads the switches of the scheduling policy. A mechanism that is not named
 /// is on.
 fleet::scheduling_policy read_policy(base::settings_reader& reader) {
@@ -70,6 +85,7 @@
         settings.processor_share =
             limits.decimal("processor_share", 0, max_cores);
         settings.link_mbps = limits.decimal("link_mbps", 0, max_link_mbps);
+        read_client_limits(limits, settings.clients);
         limits.check_unknown_keys();
         reader.merge_error(limits);
     }
@@ -98,6 +114,12 @@
     settings.metrics = read_metrics(listen, ip);
     listen.check_unknown_keys();
     reader.merge_error(listen);
+    if (reader.has("limits")) {
+        auto limits = reader.section("limits");
+        read_client_limits(limits, settings.clients);
+        limits.check_unknown_keys();
+        reader.merge_error(limits);
+    }
     const auto port =
         static_cast<std::uint16_t>(reader.number("entry_port", 1, max_port));
     settings.entries = read_entries(reader, port);
--- a/tests/fleet/fleet_settings_test.cpp
+++ b/tests/fleet/fleet_settings_test.cpp
@@ -73,4 +73,18 @@
     EXPECT_NE(text.find("on or off"), std::string::npos) << text;
 }
 
+// The limit on clients was the same on all machines.
+TEST(client_settings, follow_the_memory_and_the_descriptors_of_the_machine) {
+    const auto limits = [](const std::string& lines) {
+        const auto settings = read_with(
+            "limits:\n  processor_share: 1\n  link_mbps: 1000\n" + lines);
+        EXPECT_EQ(error_text(settings), "");
+        return std::get<host::fleet_entry_settings>(settings).clients;
+    };
+    EXPECT_EQ(limits("  memory_mb: 512\n  max_fds: 1000\n"),
+              net::derive_client_limits(512, 1000));
+    EXPECT_EQ(limits(""), net::derive_client_limits(260, 4100));
+    EXPECT_EQ(limits("  memory_mb: 0\n  max_fds: 0\n"), limits(""));
+}
+
 } // namespace celerylift::test
