Show that large jobs fill the memory of an entry once they are accepted

A few callers that hand in one legal job after the other, each near the limit of a body (a label of 249,000 bytes), fill the memory of all entries: jobs on record are bounded by nothing, and one of this size takes about three times its size.

--- a/tests/processes/hostile_clients.py
+++ b/tests/processes/hostile_clients.py
@@ -36,6 +36,7 @@
 BODY = 250_000
 FAR_OVER = 5_000_000
 ENDLESS = 1 << 40
+LARGE_JOBS = 720
 CROWD_S = 20.0
 ATTEMPTS = 3
 
@@ -403,15 +404,19 @@
         reads=False))
 
 
+def large_job(number):
+    """The path and the body of a legal job near the limit of a body."""
+    content = standins.job({"ms": 300}, cpu=100, mem_mb=100, gpu=0,
+                           required_label="x" * (BODY - 1000))
+    return (f"/lohu930/{0xd00000000000 + number:016x}",
+            json.dumps(content).encode())
+
+
 async def requests_that_wait_for_the_store(deployment):
-    """Legal jobs whose size is near the limit of a body."""
 
     def request(number):
-        content = standins.job({"ms": 300}, cpu=100, mem_mb=100, gpu=0,
-                               required_label="x" * (BODY - 1000))
-        body = json.dumps(content).encode()
-        return announced(len(body),
-                         f"/lohu930/{0xd00000000000 + number:016x}") + body
+        path, body = large_job(number)
+        return announced(len(body), path) + body
 
     deployment.store.trouble = lambda method, path, body: "drop"
     restored = asyncio.get_running_loop().call_later(
@@ -423,6 +428,25 @@
         restored.cancel()
 
 
+async def large_jobs_that_are_accepted(deployment):
+    """A few callers hand in one large job after the other."""
+    watch = Watch(deployment, "entry-1")
+    answers = {}
+
+    async def hand_in(numbers):
+        for number in numbers:
+            path, body = large_job(number)
+            status, _ = await deployment.call(1, "POST", path, body)
+            answers[status] = answers.get(status, 0) + 1
+
+    await asyncio.gather(*(hand_in(range(n, LARGE_JOBS, 8))
+                           for n in range(8)))
+    found = await deployment.unanswered(set())
+    found = watch.faults(deployment) + found
+    deployment.record(f"answers {answers}, entry-1: {watch.memory_mb:.0f} MB")
+    return found
+
+
 # -- the other addresses -------------------------------------------------------
 
 HEARTBEAT = "/api/instances/i-00000001"
@@ -474,7 +498,8 @@
     announced_bodies_far_over_the_limit, chunks_without_end,
     bodies_that_go_on_past_their_announced_length, headers_that_never_end,
     silent_connections, responses_that_nobody_reads,
-    requests_that_wait_for_the_store, heartbeats_that_stop_short_of_their_end,
+    requests_that_wait_for_the_store, large_jobs_that_are_accepted,
+    heartbeats_that_stop_short_of_their_end,
     heartbeats_in_very_small_chunks,
     silent_connections_at_the_heartbeat_address,
     bodies_at_the_metrics_address_of_an_agent,
