Bound what large jobs on record take

A few callers that hand in one large legal job after the other filled the memory of all entries: jobs are accepted without bound, and one takes about three times its size there.

Ruled out: a limit on one job's texts, which would reject single requests that are served today; and a limit on all jobs, which ordinary callers could meet.

The index of jobs now counts the submissions above 16 KB. Several entries each accept what is under way, which the budget of clients bounds.

Not mended: many small jobs, and jobs of many tasks, have no bound on what they take once they are accepted.

--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -28,6 +28,8 @@
     /// is unreachable from the start.
     std::vector<std::string> seed_entries{};
     scheduling_policy policy{};
+    /// What large submissions on record may take together, in bytes.
+    std::size_t max_large_bytes = 10UL * 1024 * 1024;
 };
 
 /// An owner that has not read all jobs within this time leaves the cell to an
--- a/modules/fleet/include/celerylift/fleet/job_api.hpp
+++ b/modules/fleet/include/celerylift/fleet/job_api.hpp
@@ -8,6 +8,7 @@
 
 #include <fleet.pb.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -72,6 +73,9 @@
     std::function<store_outage()> outage;
     /// Spreads the return of rejected callers.
     std::minstd_rand random{};
+    /// What large submissions on record may take together, in bytes; more of
+    /// them are rejected until some have gone.
+    std::size_t max_large_bytes = 10UL * 1024 * 1024;
     /// When the process ends, if it is stopping. All calls are answered before.
     std::optional<time_point> ends_at{};
 };
--- a/modules/fleet/include/celerylift/fleet/job_index.hpp
+++ b/modules/fleet/include/celerylift/fleet/job_index.hpp
@@ -4,6 +4,7 @@
 
 #include <fleet.pb.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,14 +16,21 @@
 struct stored_job {
     std::optional<Submission> submission;
     std::int64_t submission_revision = 0;
+    std::size_t submission_bytes = 0;
     bool cancelled = false;
     std::optional<Progress> progress;
     std::int64_t progress_revision = 0;
 };
 
+/// Submissions above this size, in bytes, are large. One that uses all that is
+/// allowed, with names of usual length, is below it.
+inline constexpr std::size_t large_submission_bytes = 16UL * 1024;
+
 /// All jobs in the store, by id.
 struct job_index {
     std::map<std::string, stored_job> jobs;
+    /// The sum over large submissions.
+    std::size_t large_bytes = 0;
 };
 
 /// Applies a change of any part of a job. Returns the job's id, or nothing if
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -88,7 +88,8 @@
                [this](const store_item& item) { notify_entries({item}); },
                [this] { return records_.outage(); },
                std::minstd_rand{static_cast<std::uint32_t>(
-                   std::hash<std::string>{}(settings_.self.incarnation()))}},
+                   std::hash<std::string>{}(settings_.self.incarnation()))},
+               settings_.max_large_bytes},
       cell_cache_(
           run, records_, std::string(cell_prefix), duration{0},
           [this](const store_change& change) { handle_cell_change(change); },
--- a/modules/fleet/src/job_api.cpp
+++ b/modules/fleet/src/job_api.cpp
@@ -18,6 +18,9 @@
 /// The part of a caller's timeout that is reserved for returning the answer.
 constexpr duration answer_reserve{150};
 
+/// When a caller should return whose large job has no room.
+constexpr duration large_job_return{8'000};
+
 constexpr std::size_t max_payload_bytes = 4000;
 constexpr int max_steps = 64;
 constexpr int max_tasks_in_step = 8'000;
@@ -301,6 +304,16 @@
     return "";
 }
 
+namespace {
+
+bool has_room(const job_api& api, const Submission& job) {
+    const auto size = job.ByteSizeLong();
+    return size <= large_submission_bytes ||
+           api.jobs->large_bytes + size <= api.max_large_bytes;
+}
+
+} // namespace
+
 void submit(job_api& api, const caller& from, const result<Submission>& job,
             answer_callback done) {
     const auto* decoded = std::get_if<Submission>(&job);
@@ -329,6 +342,13 @@
         return finish(call, "hand_in",
                       make_answer(answer_kind::not_run,
                                   "this entry is stopping; use another entry"));
+    if (!has_room(api, *decoded))
+        return finish(
+            call, "hand_in",
+            make_answer(answer_kind::not_run,
+                        "the cell holds as many large jobs as it can; submit "
+                        "the job later, or a smaller one",
+                        large_job_return));
     auto complete = *decoded;
     complete.set_queue(admitted.queue.name);
     complete.set_organisation(admitted.organisation);
--- a/modules/fleet/src/job_index.cpp
+++ b/modules/fleet/src/job_index.cpp
@@ -7,13 +7,25 @@
 
 namespace {
 
+void set_submission_bytes(job_index& index, stored_job& job,
+                          std::size_t bytes) {
+    const auto large = [](std::size_t size) {
+        return size > large_submission_bytes ? size : 0;
+    };
+    index.large_bytes -= large(job.submission_bytes);
+    index.large_bytes += large(bytes);
+    job.submission_bytes = bytes;
+}
+
 void remove_part(job_index& index, const job_key_parts& key) {
     auto found = index.jobs.find(key.id);
     if (found == index.jobs.end())
         return;
     auto& job = found->second;
-    if (key.part == job_part::submission)
+    if (key.part == job_part::submission) {
         job.submission.reset();
+        set_submission_bytes(index, job, 0);
+    }
     if (key.part == job_part::cancellation)
         job.cancelled = false;
     if (key.part == job_part::progress)
@@ -22,7 +34,8 @@
         index.jobs.erase(found);
 }
 
-bool set_part(stored_job& job, job_part part, const store_item& item) {
+bool set_part(job_index& index, stored_job& job, job_part part,
+              const store_item& item) {
     if (part == job_part::cancellation) {
         job.cancelled = true;
         return true;
@@ -32,6 +45,7 @@
         if (!submission.ParseFromString(item.value))
             return false;
         job.submission = std::move(submission);
+        set_submission_bytes(index, job, item.value.size());
         job.submission_revision = item.revision;
         return true;
     }
@@ -51,7 +65,7 @@
         return std::nullopt;
     if (change.removed)
         remove_part(index, *key);
-    else if (!set_part(index.jobs[key->id], key->part, change.item))
+    else if (!set_part(index, index.jobs[key->id], key->part, change.item))
         return std::nullopt;
     return key->id;
 }
