Show that jobs of many tasks fill the memory of an entry

A body of a few hundred bytes may ask for 8,000 tasks, and the owner keeps each of them. Nothing bounds the tasks of all accepted jobs.

A limit must not refuse the work of ordinary callers, so that it needs a measure of what deployments have on record.

--- a/tests/processes/hostile_clients.py
+++ b/tests/processes/hostile_clients.py
@@ -37,6 +37,7 @@
 FAR_OVER = 5_000_000
 ENDLESS = 1 << 40
 LARGE_JOBS = 720
+MANY_TASK_JOBS = 120
 CROWD_S = 20.0
 ATTEMPTS = 3
 
@@ -447,6 +448,23 @@
     return found
 
 
+async def jobs_of_many_tasks_that_are_accepted(deployment):
+    """Small bodies whose jobs have the largest number of tasks."""
+    watch = Watch(deployment, "entry-1")
+    content = standins.job({"ms": 300}, count=8000, cpu=100, mem_mb=100,
+                           gpu=0, required_label="none")
+    answers = {}
+    for number in range(MANY_TASK_JOBS):
+        path = f"/lohu930/{0xd00000000000 + number:016x}"
+        status, _ = await deployment.call(1, "POST", path, content)
+        answers[status] = answers.get(status, 0) + 1
+    await asyncio.sleep(3)  # The owner has them all.
+    found = await deployment.unanswered(set())
+    found = watch.faults(deployment) + found
+    deployment.record(f"answers {answers}, entry-1: {watch.memory_mb:.0f} MB")
+    return found
+
+
 # -- the other addresses -------------------------------------------------------
 
 HEARTBEAT = "/api/instances/i-00000001"
@@ -499,6 +517,7 @@
     bodies_that_go_on_past_their_announced_length, headers_that_never_end,
     silent_connections, responses_that_nobody_reads,
     requests_that_wait_for_the_store, large_jobs_that_are_accepted,
+    jobs_of_many_tasks_that_are_accepted,
     heartbeats_that_stop_short_of_their_end,
     heartbeats_in_very_small_chunks,
     silent_connections_at_the_heartbeat_address,
