--- a/modules/net/src/request_budget.cpp
+++ b/modules/net/src/request_budget.cpp
@@ -93,7 +93,7 @@
                                : budget.limits.max_bytes / 4 * 3;
     return budget.bytes[serving] + cost <= max_bytes &&
            budget.connections[serving].size() <
-               budget.limits.max_connections / 4 * 3;
+               std::size_t{budget.limits.max_connections} / 4 * 3;
 }
 
 void close_overdue(request_budget& budget, connection_phase phase,
