--- a/tests/processes/hostile_clients.py
+++ b/tests/processes/hostile_clients.py
@@ -374,6 +374,11 @@
         "callers", 1500, chunked(), CHUNKS_64K, chunk_bytes(65536, 196_608)))
 
 
+async def very_small_chunks_that_stop_short_of_their_end(deployment):
+    return await send_crowd(deployment, Crowd(
+        "callers", 1500, chunked(), CHUNKS_8, chunk_bytes(8, 200_000)))
+
+
 async def announced_bodies_far_over_the_limit(deployment):
     return await send_crowd(deployment, Crowd(
         "callers", ENTRY_CROWD, announced(FAR_OVER), FILL, FAR_OVER - 1))
@@ -513,6 +518,7 @@
     bodies_that_stop_short_of_their_end,
     bodies_in_pieces_that_stop_short_of_their_end,
     large_chunks_that_stop_short_of_their_end,
+    very_small_chunks_that_stop_short_of_their_end,
     announced_bodies_far_over_the_limit, chunks_without_end,
     bodies_that_go_on_past_their_announced_length, headers_that_never_end,
     silent_connections, responses_that_nobody_reads,
