--- a/tests/fleet/late_messages_test.cpp
+++ b/tests/fleet/late_messages_test.cpp
@@ -232,6 +232,12 @@
     EXPECT_TRUE(fleet.history.violations.empty());
 }
 
+void expect_work_is_started(virtual_fleet& fleet) {
+    fleet.submit(make_job(job_id(1), "ms=300", 1, small));
+    EXPECT_TRUE(
+        fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED, duration{3000}));
+}
+
 // A heartbeat of another writer has a far higher number than those of the
 // server.
 TEST(late_departure, is_withdrawn_whatever_the_number_of_the_next_heartbeat) {
@@ -241,9 +247,7 @@
     fleet::on_heartbeat(fleet.agent(1), foreign);
     fleet::on_departure(fleet.agent(1), fleet.server(1).id());
     fleet.sim.run_for(duration{3000});
-    fleet.submit(make_job(job_id(1), "ms=300", 1, small));
-    EXPECT_TRUE(
-        fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED, duration{3000}));
+    expect_work_is_started(fleet);
 }
 
 // The next life of a server whose earlier end is announced late gets work
@@ -252,9 +256,7 @@
     virtual_fleet fleet({3, 1, 1});
     fleet::on_departure(fleet.agent(1), fleet.server(1).id());
     fleet.sim.run_for(duration{1500});
-    fleet.submit(make_job(job_id(1), "ms=300", 1, small));
-    EXPECT_TRUE(
-        fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED, duration{3000}));
+    expect_work_is_started(fleet);
 }
 
 // Reports about a life of a server that seems to be the earlier one, because
--- a/tests/fleet/leader_preference_test.cpp
+++ b/tests/fleet/leader_preference_test.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+
 namespace celerylift::test {
 
 namespace {
@@ -63,91 +65,87 @@
 
 // ---- Claims ----
 
-// A claim was carried out under a lease that has ended since. The renewals of
-// the next lease kept an ownership alive that the store had already removed.
-TEST(claim, under_a_lease_that_has_ended_makes_no_owner) {
+namespace {
+
+/// An entry that claims a free cell at once.
+struct claiming_entry {
     simulation sim;
     virtual_store store{sim};
     virtual_process process{"entry", sim.now, sim.log};
-    sim.add(&process);
-    const auto client = store.client("entry", process.liveness());
-    fleet::leadership leadership(process.runtime, *client,
+    std::unique_ptr<fleet::store> client =
+        store.client("entry", process.liveness());
+    int losses = 0;
+    fleet::leadership leadership{process.runtime,
+                                 *client,
                                  make_entry("a", 500, 200),
-                                 {[](std::int64_t) {}, [] {},
-                                  [] { return std::optional{duration{0}}; }});
-    leadership.start();
-    sim.run_for(duration{50});
+                                 {[](std::int64_t) {}, [this] { ++losses; },
+                                  [] { return std::optional{duration{0}}; }}};
+
+    claiming_entry() {
+        sim.add(&process);
+        leadership.start();
+        sim.run_for(duration{50});
+    }
+};
+
+} // namespace
+
+// A claim was carried out under a lease that has ended since. The renewals of
+// the next lease kept an ownership alive that the store had already removed.
+TEST(claim, under_a_lease_that_has_ended_makes_no_owner) {
+    claiming_entry entry;
     // The claim takes effect, and the entry does not learn of it in time.
-    store.fault = store_fault::lost_replies;
-    leadership.on_owner_changed({}, 0, 1);
-    sim.run_for(duration{50});
-    const auto claimed = store.get(std::string(fleet::owner_key));
+    entry.store.fault = store_fault::lost_replies;
+    entry.leadership.on_owner_changed({}, 0, 1);
+    entry.sim.run_for(duration{50});
+    const auto claimed = entry.store.get(std::string(fleet::owner_key));
     ASSERT_TRUE(claimed);
-    store.fault = store_fault::unresponsive;
-    sim.run_for(duration{2500});
-    store.fault = store_fault::none;
-    leadership.on_owner_changed(make_entry("b", 500, 200),
-                                claimed->revision - 1, claimed->revision - 1);
-    sim.run_for(duration{1500});
+    entry.store.fault = store_fault::unresponsive;
+    entry.sim.run_for(duration{2500});
+    entry.store.fault = store_fault::none;
+    entry.leadership.on_owner_changed(make_entry("b", 500, 200),
+                                      claimed->revision - 1,
+                                      claimed->revision - 1);
+    entry.sim.run_for(duration{1500});
     fleet::EntryRecord record;
     record.ParseFromString(claimed->value);
-    leadership.on_owner_changed(record, claimed->revision, claimed->revision);
-    EXPECT_EQ(leadership.epoch(), 0);
+    entry.leadership.on_owner_changed(record, claimed->revision,
+                                      claimed->revision);
+    EXPECT_EQ(entry.leadership.epoch(), 0);
 }
 
 // A watch that had been answered before the claim told the new owner that there
 // was none. It gave the cell up and gained it again under the same epoch.
 TEST(claim, is_not_undone_by_an_older_state_of_the_store) {
-    simulation sim;
-    virtual_store store{sim};
-    virtual_process process{"entry", sim.now, sim.log};
-    sim.add(&process);
-    const auto client = store.client("entry", process.liveness());
-    int losses = 0;
-    fleet::leadership leadership(process.runtime, *client,
-                                 make_entry("a", 500, 200),
-                                 {[](std::int64_t) {}, [&] { ++losses; },
-                                  [] { return std::optional{duration{0}}; }});
-    leadership.start();
-    sim.run_for(duration{50});
-    leadership.on_owner_changed({}, 0, 1);
-    sim.run_for(duration{50});
-    const auto epoch = leadership.epoch();
+    claiming_entry entry;
+    entry.leadership.on_owner_changed({}, 0, 1);
+    entry.sim.run_for(duration{50});
+    const auto epoch = entry.leadership.epoch();
     ASSERT_NE(epoch, 0);
-    leadership.on_owner_changed({}, 0, epoch - 1);
-    EXPECT_EQ(leadership.epoch(), epoch);
-    EXPECT_EQ(losses, 0);
-    leadership.on_owner_changed({}, 0, epoch + 1);
-    EXPECT_EQ(losses, 1);
+    entry.leadership.on_owner_changed({}, 0, epoch - 1);
+    EXPECT_EQ(entry.leadership.epoch(), epoch);
+    EXPECT_EQ(entry.losses, 0);
+    entry.leadership.on_owner_changed({}, 0, epoch + 1);
+    EXPECT_EQ(entry.losses, 1);
 }
 
 // The reply to a claim arrives after the watch has brought the claim and its
 // end.
 TEST(claim, whose_reply_comes_after_its_end_makes_no_owner) {
-    simulation sim;
-    virtual_store store{sim};
-    virtual_process process{"entry", sim.now, sim.log};
-    sim.add(&process);
-    const auto client = store.client("entry", process.liveness());
-    fleet::leadership leadership(process.runtime, *client,
-                                 make_entry("a", 500, 200),
-                                 {[](std::int64_t) {}, [] {},
-                                  [] { return std::optional{duration{0}}; }});
-    leadership.start();
-    sim.run_for(duration{50});
-    leadership.on_owner_changed({}, 0, 1);
-    sim.run_for(duration{50});
-    const auto epoch = leadership.epoch();
+    claiming_entry entry;
+    entry.leadership.on_owner_changed({}, 0, 1);
+    entry.sim.run_for(duration{50});
+    const auto epoch = entry.leadership.epoch();
     ASSERT_NE(epoch, 0);
-    const auto claimed = store.get(std::string(fleet::owner_key));
+    const auto claimed = entry.store.get(std::string(fleet::owner_key));
     ASSERT_TRUE(claimed);
     fleet::EntryRecord record;
     record.ParseFromString(claimed->value);
-    store.fault = store_fault::unresponsive;
-    leadership.on_owner_changed({}, 0, epoch + 5);
-    EXPECT_EQ(leadership.epoch(), 0);
-    leadership.on_owner_changed(record, epoch, epoch);
-    EXPECT_EQ(leadership.epoch(), 0);
+    entry.store.fault = store_fault::unresponsive;
+    entry.leadership.on_owner_changed({}, 0, epoch + 5);
+    EXPECT_EQ(entry.leadership.epoch(), 0);
+    entry.leadership.on_owner_changed(record, epoch, epoch);
+    EXPECT_EQ(entry.leadership.epoch(), 0);
 }
 
 // ---- In a fleet ----
