Place work by the speeds that servers have shown

Cause: on a service whose servers run at lastingly different speeds (0.55 to 1.9 times the median of their jobs, one label) urgent gangs start within 5 ms and are late: any slow member paces them, and their objective is 1.5 times their work. Nothing knew a server's speed.

Ruled out: declared run times alone (off by up to 3.5 times for urgent work); runs of gangs as samples (they tell only about their slowest member); a store write a sample; reports by agents alone (an agent cannot tell work from speed).

Change: server_speed estimates the speeds of all servers jointly with the work of steps, from runs of independent tasks, robustly against runs that were slow for seconds. The owner sends each estimate to the agent, which keeps it for the life of its server and reports it to the next owner. Urgent gangs take servers on which they can be in time, preempt cheap work there for 800 ms at most, and take slower ones then; batch work takes the slowest that it can bear; independent batch tasks go to servers of unknown speed first, one each. Expected run times, stall limits and the detection of slow servers allow for the known speed. Nothing changes while fewer than two servers differ. Switch: use_server_speeds.

Moves of checkpointed runs that will be late are not built.

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -117,6 +117,8 @@
     std::map<run_key, std::string> gone{};
     std::map<run_key, resources> run_resources{};
     std::map<run_key, last_progress> progress{};
+    /// The owner's estimate of the server's speed, kept for the next owner.
+    std::optional<SpeedEstimate> speed{};
     /// Crashes of earlier incarnations that the owner has not recorded yet.
     std::vector<ServerCrash> crashes{};
 
--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -8,6 +8,7 @@
 #include <celerylift/fleet/runtime.hpp>
 #include <celerylift/fleet/scheduling_policy.hpp>
 #include <celerylift/fleet/server_health.hpp>
+#include <celerylift/fleet/server_speed.hpp>
 #include <celerylift/fleet/store.hpp>
 
 #include <fleet.pb.h>
@@ -58,6 +59,8 @@
     bool all_runs_known = false;
     resources in_use;
     server_occupancy occupancy;
+    /// A run there will tell the server's speed.
+    bool measures_speed = false;
 };
 
 /// The owner's view of a backend server and of the agent that manages it.
@@ -93,6 +96,10 @@
     /// jobs' records is stored.
     std::vector<std::string> recorded_crashes;
     server_health health;
+    /// Of the current incarnation: the latest estimate, and the one that a
+    /// former owner has left with the agent.
+    speed_estimate speed;
+    speed_estimate inherited_speed;
 };
 
 /// Capacity on some servers that is reserved for the tasks of a step until
@@ -117,6 +124,15 @@
     int sample_count = 0;
 };
 
+/// A complete run that tells the speed of its server.
+struct timed_run {
+    std::string agent;
+    std::string queue;
+    task_name step; // With the index 0.
+    duration declared{0};
+    duration ran{0};
+};
+
 /// The state of the process that owns the cell. One owner at a time decides
 /// what runs where. A new owner rebuilds this state from the store and from
 /// the agents' reports.
@@ -142,6 +158,9 @@
     std::map<std::string, server> servers{};
     std::vector<reservation> reservations{};
     std::map<std::string, run_time_estimate> run_time_estimates{}; // By queue.
+    std::deque<timed_run> timed_runs{}; // The latest ones.
+    speed_distribution speeds{};
+    time_point speeds_estimated_at{};
     std::set<std::string> agents_to_update{};
     /// Jobs that may have tasks to place, and jobs whose record must be
     /// written.
--- a/modules/fleet/include/celerylift/fleet/placement.hpp
+++ b/modules/fleet/include/celerylift/fleet/placement.hpp
@@ -4,6 +4,7 @@
 #include <celerylift/time.hpp>
 
 #include <functional>
+#include <limits>
 #include <set>
 #include <string>
 #include <string_view>
@@ -40,11 +41,23 @@
     bool has_suspect = false;
     /// The crash that all tasks there are weak suspects of, or empty.
     std::string_view crash;
+    /// The factor that run times there are planned with.
+    double slowness = 1.0;
+    /// Neither the server's speed is known nor does a run there tell it.
+    bool has_unknown_speed = false;
 };
 
 /// Servers below this score are used only if no other has free capacity.
 inline constexpr double min_health_score = 0.5;
 
+inline constexpr double no_slowness_limit =
+    std::numeric_limits<double>::infinity();
+
+/// Which servers a request takes first where they run at different speeds.
+/// Work with a tight objective takes the fastest. Other work takes the slowest
+/// that are fast enough for it, so that the fast ones stay free.
+enum class speed_order { none, fastest_first, slowest_first };
+
 /// Tasks of one step that are placed together, and what they require.
 struct placement_request {
     std::string service;
@@ -75,6 +88,13 @@
     /// may share a server.
     std::string_view crash;
     int max_jobs_of_crash = 0;
+    speed_order by_speed = speed_order::none;
+    /// The slowness up to which a server is fast enough.
+    double slowness_limit = no_slowness_limit;
+    /// Excludes servers beyond that limit.
+    bool within_limit_only = false;
+    /// Servers of unknown speed get one task each first.
+    bool explores_speeds = false;
 };
 
 /// The candidate's index for each placed task; empty if none is placed.
--- a/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
+++ b/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
@@ -30,6 +30,8 @@
     bool move_from_slow_servers = true;
     /// Runs are moved away from servers that leave before the runs can end.
     bool evacuate_leaving_servers = true;
+    /// Work is placed by the speeds that servers have shown.
+    bool use_server_speeds = true;
 
     bool operator==(const scheduling_policy&) const = default;
 };
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -66,6 +66,7 @@
     self.gone.clear();
     self.run_resources.clear();
     self.progress.clear();
+    self.speed.reset();
     self.long_poll_open = false;
     self.short_poll_open = false;
     // An earlier agent may have extended the lease until this one started.
@@ -366,6 +367,8 @@
             self.last_heartbeat.remaining > duration{0})
             server->set_remaining_ms(std::max<std::int64_t>(
                 1, (self.earliest_shutdown_at - self.run.now()).count()));
+        if (self.speed)
+            *server->mutable_speed() = *self.speed;
         report.set_lists_as_of_ms(self.run_list_clock_ms);
         for (const auto& running : self.running)
             *report.add_running() = running;
--- a/modules/fleet/src/agent_orders.cpp
+++ b/modules/fleet/src/agent_orders.cpp
@@ -408,6 +408,8 @@
     if (orders.incarnation() != self.incarnation || self.incarnation.empty())
         return;
     self.has_orders = answered >= self.departed_at;
+    if (orders.has_speed())
+        self.speed = orders.speed();
     if (orders.noted_end() > self.acknowledged_up_to) {
         self.acknowledged_up_to = orders.noted_end();
         std::erase_if(self.ended, [&](const EndedTask& e) {
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -111,6 +111,8 @@
         server.usage.stale = true;
         server.lists_as_of_ms = 0;
         server.health = {};
+        forget_speed(self, server);
+        inherit_speed(server, state.speed());
     }
     server.state = state;
     server.labels.assign(state.labels().begin(), state.labels().end());
@@ -211,6 +213,9 @@
     self.servers.clear();
     self.jobs.clear();
     self.reservations.clear();
+    self.timed_runs.clear();
+    self.speeds = {};
+    self.speeds_estimated_at = {};
     self.agents_to_update.clear();
     self.waiting_jobs.clear();
     self.unwritten_jobs.clear();
@@ -318,6 +323,7 @@
     lose_runs_of_unresponsive_servers(self);
     if (self.is_valid())
         remove_old_jobs(self);
+    update_speeds(self);
     process_changes(self);
 }
 
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -33,7 +33,10 @@
         const auto assigned = server.assigned.find(*name);
         if (assigned == server.assigned.end() ||
             assigned->second.task_ref->ended_in_gang) {
-            usage.in_use += need_of(step_of(it->second, *name));
+            const auto& step = step_of(it->second, *name);
+            usage.in_use += need_of(step);
+            usage.measures_speed =
+                usage.measures_speed || tells_speed(server, step);
             add_occupant(usage.occupancy, name->job, false, {});
         }
     }
@@ -47,9 +50,13 @@
     self.run.metrics.count("rooms_refreshed_total");
     server.usage.in_use = {};
     server.usage.occupancy = {};
+    server.usage.measures_speed = false;
     for (const auto& [name, assigned] : server.assigned)
         if (!assigned.task_ref->ended_in_gang) {
-            server.usage.in_use += need_of(step_of(*assigned.job_ref, name));
+            const auto& step = step_of(*assigned.job_ref, name);
+            server.usage.in_use += need_of(step);
+            server.usage.measures_speed =
+                server.usage.measures_speed || tells_speed(server, step);
             add_occupant(server.usage.occupancy, name.job,
                          closes_server(self, *assigned.task_ref),
                          weak_suspect_of(*assigned.task_ref));
@@ -78,6 +85,7 @@
 
 schedule_pass begin_pass(owner& self) {
     schedule_pass pass;
+    pass.urgent_slowness_limit = urgent_slowness_limit(self);
     std::unordered_map<std::string_view, std::size_t> racks;
     const auto now = self.run.now();
     for (auto& [agent, server] : self.servers) {
@@ -107,6 +115,10 @@
         candidate.job_count = server.usage.occupancy.job_count;
         candidate.has_suspect = server.usage.occupancy.has_suspect;
         candidate.crash = server.usage.occupancy.crash;
+        candidate.slowness = planned_slowness(server.speed, self.speeds);
+        candidate.has_unknown_speed = self.speeds.is_uneven &&
+                                      !is_known(server.speed) &&
+                                      !server.usage.measures_speed;
         auto& service = pass.services[candidate.service];
         service.total += candidate.capacity;
         service.free += candidate.free;
@@ -134,6 +146,10 @@
            more.max_per_server == less.max_per_server &&
            more.running == less.running &&
            (more.healthy_only || !less.healthy_only) &&
+           (more.within_limit_only
+                ? !less.within_limit_only ||
+                      more.slowness_limit <= less.slowness_limit
+                : !less.within_limit_only) &&
            !more.needs_own_servers && !less.needs_own_servers &&
            (less.may_probe || !more.may_probe);
 }
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -107,6 +107,43 @@
 double remaining_run_time_ms(const owner& self, const server& server,
                              const job& job, const task& task);
 
+/// Whether the runs of a step tell the speed of the server that they are on. A
+/// gang runs at the pace of its slowest member; work that lasts or fills has no
+/// pace of its own; work away from its data takes several times as long.
+bool tells_speed(const server& server, const Step& step);
+
+/// Keeps a complete run of a task as a sample of its server's speed.
+void record_timed_run(owner& self, const server& server, const job& job,
+                      const task& task, duration ran);
+
+/// Drops what is known of a server's speed, because another incarnation of it
+/// is followed.
+void forget_speed(owner& self, server& server);
+
+/// Takes over the estimate that a former owner has left with the agent.
+void inherit_speed(server& server, const SpeedEstimate& kept);
+
+/// Estimates the speeds of all servers again, several times a second at most.
+void update_speeds(owner& self);
+
+/// The factor by which a server, or the slowest one of a gang, is expected to
+/// take longer than an average server.
+double expected_slowness_of(const owner& self, const std::string& agent);
+double expected_pace(const owner& self, const job& job, const task& task);
+
+/// The factor up to which servers suit the queue of urgent work with the
+/// tightest objective.
+double urgent_slowness_limit(const owner& self);
+
+/// The factor up to which a server is fast enough for a job that is started
+/// now to earn its payoff in full. No limit where that is out of reach anyway.
+double slowness_limit_of(const owner& self, const job& job,
+                         const occurrence& occurrence);
+
+/// The projected time of a whole run of a task on its server, in milliseconds.
+/// 0 if that cannot be estimated yet.
+double projected_run_time_ms(const server& server, const task& task);
+
 void schedule(owner& self);
 void write_changes(owner& self);
 void send_orders(owner& self);
@@ -178,6 +215,8 @@
     /// Accelerators in use by urgent work, by organisation. Filled on first
     /// use.
     std::optional<std::map<std::string, std::int64_t>> urgent_accelerators;
+    /// Servers up to this factor are kept for urgent work where possible.
+    double urgent_slowness_limit = no_slowness_limit;
     /// Limits the reservation plans of one pass. Units beyond the limit wait
     /// for another pass.
     int reservation_plans_left = 8;
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -76,11 +76,16 @@
 }
 
 /// Adds a run to the estimate of its queue. Declared times are off by up to
-/// nine tenths, so observed times are preferred.
-void update_run_time_estimate(owner& self, job& job, const task& task) {
+/// nine tenths, so observed times are preferred. They are taken as they would
+/// be on an average server.
+void update_run_time_estimate(owner& self, const server& server, job& job,
+                              const task& task) {
     if (!task.started_from_scratch || task.phase != task_phase::assigned)
         return;
-    const auto ran = self.run.now() - task.assigned_at;
+    const auto measured = self.run.now() - task.assigned_at;
+    record_timed_run(self, server, job, task, measured);
+    const auto ran = std::chrono::duration_cast<duration>(
+        measured / expected_pace(self, job, task));
     auto& estimate = self.run_time_estimates[job.submission.queue()];
     ++estimate.sample_count;
     estimate.expected += (ran - estimate.expected) /
@@ -108,7 +113,7 @@
 void handle_success(owner& self, server& server, job& job, task& task,
                     int run) {
     record_success(server.health, self.run.now());
-    update_run_time_estimate(self, job, task);
+    update_run_time_estimate(self, server, job, task);
     if (step_of(job, task.name).lasting())
         return return_to_waiting(self, task);
     if (!step_of(job, task.name).gang())
--- a/modules/fleet/src/owner_payoff.cpp
+++ b/modules/fleet/src/owner_payoff.cpp
@@ -45,16 +45,41 @@
            objective * objectives;
 }
 
+/// What a run takes besides its work until callers see its end: the start, the
+/// report of the end and its record.
+constexpr duration run_overhead{100};
+
+/// Each occurrence of a recurring job counts from its due time. Lasting work
+/// has its payoff for as long as it runs.
+bool has_objective(const job& job) {
+    return job.submission.occurrences() == 0 &&
+           std::ranges::none_of(job.submission.steps(), &Step::lasting);
+}
+
 } // namespace
 
+double slowness_limit_of(const owner& self, const job& job,
+                         const occurrence& occurrence) {
+    const auto* queue = queue_of(self, job);
+    if (!queue || !has_objective(job))
+        return no_slowness_limit;
+    const auto work = critical_path_time(self, job, expected_run_time, nullptr);
+    const auto left =
+        critical_path_time(self, job, expected_run_time, &occurrence);
+    const duration age{self.run.unix_ms() - job.submission.submitted_unix_ms()};
+    const auto time_left =
+        std::chrono::duration_cast<duration>(work * queue->stretch) +
+        queue->allowance - age - run_overhead;
+    if (left <= duration{0} || time_left < left)
+        return no_slowness_limit;
+    return static_cast<double>(time_left.count()) /
+           static_cast<double>(left.count());
+}
+
 payoff payoff_of(const owner& self, const job& job,
                  const occurrence& occurrence) {
     const auto* queue = queue_of(self, job);
-    // Each occurrence of a recurring job counts from its due time. Lasting work
-    // has its payoff for as long as it runs.
-    if (!self.policy.order_by_payoff || !queue ||
-        job.submission.occurrences() > 0 ||
-        std::ranges::any_of(job.submission.steps(), &Step::lasting))
+    if (!self.policy.order_by_payoff || !queue || !has_objective(job))
         return payoff::in_full;
     if (ends_within(self, job, occurrence, *queue, declared_run_time, 1))
         return payoff::in_full;
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -1,6 +1,7 @@
 #include "owner_internal.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace celerylift::fleet {
@@ -19,6 +20,10 @@
 constexpr duration max_wait_for_healthy{3000};
 constexpr duration max_urgent_wait_for_healthy{800};
 
+/// How long an urgent gang waits for work on fast servers to be stopped. A slow
+/// server then costs it no more than the wait.
+constexpr duration max_urgent_wait_for_speed{800};
+
 /// Batch work keeps off the emptiest rack until it has waited for this share of
 /// its expected run time. Its objective is several times that run time. Urgent
 /// work that finds free capacity there need not preempt, and the delay of a
@@ -64,6 +69,22 @@
     self.run.metrics.count("tasks_assigned_total");
 }
 
+/// Sets which speeds a request prefers. Nothing while servers run alike.
+void prefer_speeds(const owner& self, const job& job,
+                   const occurrence& occurrence, int step,
+                   placement_request& request) {
+    if (!self.speeds.is_uneven)
+        return;
+    const bool is_urgent = priority_of(self, job) == 0;
+    request.by_speed =
+        is_urgent ? speed_order::fastest_first : speed_order::slowest_first;
+    request.slowness_limit = slowness_limit_of(self, job, occurrence);
+    const auto& spec = job.submission.steps(step);
+    request.explores_speeds =
+        !is_urgent && !spec.gang() && !spec.lasting() && !spec.filling() &&
+        request.slowness_limit > std::exp(2 * self.speeds.log_spread);
+}
+
 placement_request request_for(const owner& self, const job& job,
                               const occurrence& occurrence, int step) {
     const auto& spec = job.submission.steps(step);
@@ -75,6 +96,7 @@
     request.preferred_rack = spec.affinity_rack();
     request.max_per_server = spec.anti_affinity();
     request.same_rack = spec.gang() && spec.same_rack();
+    prefer_speeds(self, job, occurrence, step, request);
     if (request.max_per_server == 0)
         return request;
     std::map<std::string, int> running;
@@ -179,12 +201,15 @@
         request.avoid.clear();
 }
 
-/// Returns the number of the rack with the most free accelerators.
-std::size_t emptiest_rack(const std::vector<candidate_server>& candidates) {
+/// Returns the number of the rack with the most free accelerators on servers
+/// that are fast enough for urgent work.
+std::size_t emptiest_rack(const std::vector<candidate_server>& candidates,
+                          double slowness_limit) {
     std::vector<std::int64_t> free;
     for (const auto& candidate : candidates) {
         free.resize(std::max(free.size(), candidate.rack_number + 1));
-        free[candidate.rack_number] += candidate.free.accelerators;
+        if (candidate.slowness <= slowness_limit)
+            free[candidate.rack_number] += candidate.free.accelerators;
     }
     return static_cast<std::size_t>(std::ranges::max_element(free) -
                                     free.begin());
@@ -199,16 +224,20 @@
 }
 
 /// Excludes the emptiest rack while batch work can still wait, so that it stays
-/// free for urgent work.
-void exclude_emptiest_rack(const owner& self, const job& job,
-                           const waiting_unit& unit, const task& first,
+/// free for urgent work. Servers there that are too slow for urgent work
+/// remain.
+void exclude_emptiest_rack(const owner& self, const schedule_pass& pass,
+                           const job& job, const waiting_unit& unit,
+                           const task& first,
                            std::vector<candidate_server>& candidates) {
     if (!self.policy.keep_rack_for_urgent || unit.priority == 0 ||
         has_waited_long(self, job, unit, first))
         return;
-    const auto rack = emptiest_rack(candidates);
+    const auto limit = pass.urgent_slowness_limit;
+    const auto rack = emptiest_rack(candidates, limit);
     for (auto& candidate : candidates)
-        candidate.excluded_from_request = candidate.rack_number == rack;
+        candidate.excluded_from_request =
+            candidate.rack_number == rack && candidate.slowness <= limit;
 }
 
 failed_request attempt_for(const job& job, bool waited_long,
@@ -328,6 +357,42 @@
     return request;
 }
 
+/// Whether an urgent gang takes only servers on which it can be in time, for
+/// now.
+bool insists_on_speed(const owner& self, const placement_request& request,
+                      const task& first) {
+    return request.by_speed == speed_order::fastest_first &&
+           request.slowness_limit < no_slowness_limit &&
+           waiting_time(self, first) < max_urgent_wait_for_speed;
+}
+
+/// Places an urgent gang on servers that are fast enough for it to be in time.
+/// Where they are taken, preempts other work there if that costs little.
+placement place_in_time(owner& self, schedule_pass& pass,
+                        const waiting_unit& unit, job& job,
+                        placement_request request,
+                        std::vector<candidate_server>& candidates) {
+    const auto& occurrence = job.occurrences[unit.occurrence];
+    const auto& first =
+        occurrence.steps[static_cast<std::size_t>(unit.step)].tasks.front();
+    if (!insists_on_speed(self, request, first))
+        return {};
+    request.within_limit_only = true;
+    auto chosen = place(candidates, request);
+    if (chosen.empty() && !request.needs_own_servers &&
+        !has_reservation(self, unit))
+        reclaim(self, pass, job, occurrence, unit.step, request);
+    return chosen;
+}
+
+/// Whether fast servers are being freed for an urgent gang. Until they are, it
+/// does not take slower ones.
+bool is_reclaiming(const owner& self, const waiting_unit& unit,
+                   const placement_request& request, const task& first) {
+    return has_reservation(self, unit) &&
+           insists_on_speed(self, request, first);
+}
+
 void place_gang(owner& self, schedule_pass& pass, job& job,
                 const waiting_unit& unit) {
     auto& occurrence = job.occurrences[unit.occurrence];
@@ -343,11 +408,14 @@
         return;
     auto candidates = pass.candidates;
     subtract_other_reservations(self, pass, unit, candidates);
-    exclude_emptiest_rack(self, job, unit, tasks.front(), candidates);
+    exclude_emptiest_rack(self, pass, job, unit, tasks.front(), candidates);
     if (!known_not_to_fit)
         self.run.metrics.count("placements_tried_total");
-    const auto chosen =
-        known_not_to_fit ? placement{} : place(candidates, request);
+    auto chosen = place_in_time(self, pass, unit, job, request, candidates);
+    if (chosen.empty() && is_reclaiming(self, unit, request, tasks.front()))
+        return;
+    if (chosen.empty() && !known_not_to_fit)
+        chosen = place(candidates, request);
     if (chosen.empty()) {
         preempt_or_reserve(self, pass, unit, job, request, candidates,
                            waited_long);
@@ -431,7 +499,7 @@
         return;
     auto candidates = pass.candidates;
     subtract_other_reservations(self, pass, unit, candidates);
-    exclude_emptiest_rack(self, job, unit, first, candidates);
+    exclude_emptiest_rack(self, pass, job, unit, first, candidates);
     std::size_t placed = 0;
     while (placed < tasks.size()) {
         const auto count =
--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -115,7 +115,10 @@
                              : stall_percents_if_declared;
     auto limit =
         min_stall_ms +
-        expected_run_time(self, job, task.name.step).count() * percents / 100;
+        static_cast<std::int64_t>(
+            static_cast<double>(
+                expected_run_time(self, job, task.name.step).count()) *
+            std::max(1.0, expected_pace(self, job, task)) * percents / 100);
     if (step_of(job, task.name).gang() && task.percent == 0)
         limit += gang_start_ms;
     if (task.is_restoring)
@@ -141,23 +144,12 @@
     stop_run(self, job, task, "it makes no progress");
 }
 
-/// The projected time of a whole run of a task on its server, in milliseconds.
-/// 0 if that cannot be estimated yet.
-double projected_run_time_ms(const server& server, const task& task) {
-    const auto ran = server.lists_as_of_ms - task.first_seen_ms;
-    const int done = task.percent - task.first_seen_percent;
-    if (task.is_restoring || ran < min_measured_time_ms)
-        return 0;
-    if (done < min_measured_percent)
-        return static_cast<double>(ran) * 100 / min_measured_percent;
-    return static_cast<double>(ran) * 100 / done;
-}
-
 /// Tasks of the same step that run on other servers or have finished.
 struct siblings {
     int total = 0;
-    int timed_count = 0;          // Those with a known run time.
-    double total_run_time_ms = 0; // Sum of the known run times.
+    int timed_count = 0; // Those with a known run time.
+    /// Sum of the known run times, as they would be on an average server.
+    double total_run_time_ms = 0;
 };
 
 siblings siblings_of(const owner& self, const job& job, const task& task) {
@@ -174,7 +166,8 @@
             continue;
         const auto run_time = projected_run_time_ms(it->second, other);
         found.timed_count += run_time > 0 ? 1 : 0;
-        found.total_run_time_ms += run_time;
+        found.total_run_time_ms +=
+            run_time / expected_slowness_of(self, other.agent);
     }
     return found;
 }
@@ -186,8 +179,9 @@
     return !rack.empty() && rack != server.state.rack();
 }
 
-/// The expected time of a whole run of a task on a healthy server, in
-/// milliseconds, and the factor beyond which a server counts as slow. The time
+/// The expected time of a whole run of a task on an average server, in
+/// milliseconds, and the factor beyond which the task's server counts as slow.
+/// The factor allows for the speed that the server is known to have. The time
 /// is 0 if too little is known.
 struct expectation {
     double run_time_ms = 0;
@@ -199,14 +193,15 @@
     if (is_away_from_data(server, job, task))
         return {};
     const auto others = siblings_of(self, job, task);
+    const auto slowness = expected_slowness_of(self, server.agent);
     if (others.timed_count >= min_siblings)
         return {others.total_run_time_ms / others.timed_count,
-                slow_factor_by_siblings};
+                slow_factor_by_siblings * slowness};
     if (others.total >= min_siblings || !has_run_time_estimate(self, job))
         return {};
     return {static_cast<double>(
                 max_expected_run_time(self, job, task.name.step).count()),
-            slow_factor_by_queue};
+            slow_factor_by_queue * slowness};
 }
 
 void stop_if_worth_moving(owner& self, server& server, job& job, task& task,
@@ -315,12 +310,23 @@
 
 } // namespace
 
+double projected_run_time_ms(const server& server, const task& task) {
+    const auto ran = server.lists_as_of_ms - task.first_seen_ms;
+    const int done = task.percent - task.first_seen_percent;
+    if (task.is_restoring || ran < min_measured_time_ms)
+        return 0;
+    if (done < min_measured_percent)
+        return static_cast<double>(ran) * 100 / min_measured_percent;
+    return static_cast<double>(ran) * 100 / done;
+}
+
 double remaining_run_time_ms(const owner& self, const server& server,
                              const job& job, const task& task) {
     if (const auto run_time = projected_run_time_ms(server, task); run_time > 0)
         return run_time * (100 - task.percent) / 100;
     return static_cast<double>(
-        expected_run_time(self, job, task.name.step).count());
+               expected_run_time(self, job, task.name.step).count()) *
+           expected_pace(self, job, task);
 }
 
 void apply_running(owner& self, server& server, const AgentReport& report) {
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -258,12 +258,16 @@
 }
 
 /// Finds the cheapest plan. If there is none, drops first the preference for a
-/// single rack and then the restriction to healthy servers.
+/// single rack and then the restriction to healthy servers. A request for fast
+/// servers keeps both: what it would lose by the spread or by a failing server
+/// is more than a slow one costs.
 std::optional<preemption_plan> find_plan(const owner& self, schedule_pass& pass,
                                          const placement_request& request,
                                          int priority) {
     auto relaxed = request;
     auto found = cheapest_plan(self, pass, relaxed, priority);
+    if (request.within_limit_only)
+        return found;
     if (!found && relaxed.same_rack) {
         relaxed.same_rack = false;
         found = cheapest_plan(self, pass, relaxed, priority);
@@ -283,7 +287,9 @@
     const int priority = priority_of(self, job);
     if (priority != 0)
         return false;
-    const bool guaranteed = is_guaranteed(self, pass, job, request);
+    // The guarantee does not extend to servers of a certain speed.
+    const bool guaranteed =
+        !request.within_limit_only && is_guaranteed(self, pass, job, request);
     if (!guaranteed && (!self.policy.preempt_beyond_guarantee ||
                         payoff_of(self, job, occurrence) != payoff::in_full))
         return false;
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -134,6 +134,7 @@
     const auto units = waiting_units(self);
     if (units.empty())
         return;
+    update_speeds(self);
     auto pass = begin_pass(self);
     const bool urgent_only = batch_work_waits(self);
     for (const auto& unit : units)
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -252,6 +252,10 @@
         server.granted_until =
             std::max(server.granted_until, end_of_grant(server.last_report_at));
     }
+    if (self.speeds.is_uneven && server.speed.weight > 0) {
+        orders.mutable_speed()->set_log_slowness(server.speed.log_slowness);
+        orders.mutable_speed()->set_weight(server.speed.weight);
+    }
     for (const auto& [name, assigned] : server.assigned) {
         const auto& task = *assigned.task_ref;
         if (task.ended_in_gang ||
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -1,5 +1,7 @@
 #include <celerylift/fleet/placement.hpp>
 
+#include <celerylift/fleet/server_speed.hpp>
+
 #include <algorithm>
 #include <limits>
 #include <map>
@@ -9,6 +11,10 @@
 
 namespace {
 
+/// Ranks servers that are too slow for a request behind all others. Above the
+/// classes of all factors that occur.
+constexpr int too_slow_rank = 1000;
+
 std::int64_t count_that_fit(std::int64_t free, std::int64_t each) {
     if (each <= 0)
         return std::numeric_limits<std::int64_t>::max();
@@ -24,12 +30,19 @@
     return count;
 }
 
+/// Whether a task of the request is placed on a server to learn its speed.
+bool is_explored(const candidate_server& server,
+                 const placement_request& request) {
+    return request.explores_speeds && server.has_unknown_speed;
+}
+
 /// How many of the tasks fit on a server now.
 std::int64_t slots_on(const candidate_server& server,
                       const placement_request& request) {
     if (!admits(server, request))
         return 0;
-    const auto max_tasks = server.on_probation ? 1 : request.count;
+    const auto max_tasks =
+        server.on_probation || is_explored(server, request) ? 1 : request.count;
     const auto slots =
         std::min<std::int64_t>(slots_in(server.free, request.each), max_tasks);
     if (request.max_per_server == 0)
@@ -39,8 +52,26 @@
 }
 
 /// Lower is better: servers that are not degraded, those shown to be healthy if
-/// the request prefers them, the preferred rack, then the least free capacity.
-using preference = std::tuple<bool, int, bool, std::int64_t, std::int64_t>;
+/// the request prefers them, the preferred rack, the speed that suits the
+/// request, then the least free capacity.
+using preference = std::tuple<bool, int, bool, int, std::int64_t, std::int64_t>;
+
+/// How badly a server's speed suits a request.
+int speed_rank(const candidate_server& server,
+               const placement_request& request) {
+    if (is_explored(server, request))
+        return std::numeric_limits<int>::min();
+    const auto rank = speed_class(server.slowness);
+    switch (request.by_speed) {
+    case speed_order::fastest_first:
+        return rank;
+    case speed_order::slowest_first:
+        return server.slowness <= request.slowness_limit ? -rank
+                                                         : rank + too_slow_rank;
+    default:
+        return 0;
+    }
+}
 
 /// How little is known about a server's health; 0 if that does not matter.
 int health_uncertainty(const candidate_server& server,
@@ -74,11 +105,12 @@
     std::int64_t slots = 0;
     int degraded = 0;
     bool outside_preferred_rack = false;
+    int speed_rank = 0;
     resources free;
 
     auto order_key() const {
-        return std::tuple{degraded, outside_preferred_rack, free.accelerators,
-                          free.millicores};
+        return std::tuple{degraded, outside_preferred_rack, speed_rank,
+                          free.accelerators, free.millicores};
     }
 };
 
@@ -96,14 +128,32 @@
     if (slots > 0)
         group.servers.push_back(
             {{degraded, health_uncertainty(server, request),
-              outside_preferred_rack, server.free.accelerators,
-              server.free.millicores},
+              outside_preferred_rack, speed_rank(server, request),
+              server.free.accelerators, server.free.millicores},
              index,
              slots});
 }
 
+/// The speed rank of the slowest server that the tasks need if they take the
+/// fastest of a group. A gang is as slow as its slowest member.
+int slowest_rank_needed(const server_group& group,
+                        const placement_request& request) {
+    if (request.by_speed != speed_order::fastest_first)
+        return 0;
+    std::map<int, std::int64_t> slots;
+    for (const auto& server : group.servers)
+        slots[std::get<3>(server.order_key)] += server.slots;
+    std::int64_t total = 0;
+    for (const auto& [rank, count] : slots) {
+        total += count;
+        if (total >= request.count)
+            return rank;
+    }
+    return too_slow_rank;
+}
+
 /// Groups in order of preference: the fewest degraded servers, the preferred
-/// rack, then the least free capacity.
+/// rack, the speed that suits the request, then the least free capacity.
 std::vector<server_group>
 groups_in_order(const std::vector<candidate_server>& candidates,
                 const placement_request& request) {
@@ -115,8 +165,10 @@
                        candidates[i], i, request);
     std::vector<server_group> groups;
     groups.reserve(racks.size());
-    for (auto& [rack, group] : racks)
+    for (auto& [rack, group] : racks) {
+        group.speed_rank = slowest_rank_needed(group, request);
         groups.push_back(std::move(group));
+    }
     std::ranges::stable_sort(groups, {}, [](const server_group& group) {
         return group.order_key();
     });
@@ -134,6 +186,7 @@
         for (auto n = std::min(remaining, ranked.slots); n > 0;
              --n, --remaining) {
             candidates[ranked.index].free -= request.each;
+            candidates[ranked.index].has_unknown_speed = false;
             result.push_back(ranked.index);
         }
         if (remaining == 0)
@@ -168,6 +221,8 @@
         return false;
     if (request.healthy_only && server.health_score < min_health_score)
         return false;
+    if (request.within_limit_only && server.slowness > request.slowness_limit)
+        return false;
     if (!request.avoid.empty() && request.avoid.contains(server.agent))
         return false;
     return request.required_label.empty() ||
--- a/tests/fleet/owner_fixture.cpp
+++ b/tests/fleet/owner_fixture.cpp
@@ -80,6 +80,8 @@
     state->set_service("order-desk");
     state->set_rack(fmt::format("rack-{}", server / servers_per_rack));
     to_record(whole_server, state->mutable_capacity());
+    if (const auto kept = kept_speeds.find(server); kept != kept_speeds.end())
+        *state->mutable_speed() = kept->second;
     for (const auto& start : orders[agent].assigned())
         *report.add_running()->mutable_name() = start.name();
     on_report(owner, agent, report);
@@ -90,6 +92,28 @@
         report(n);
 }
 
+void owner_fixture::take_over() {
+    store.put(std::string(fleet::owner_key), "the next owner");
+    activate(owner, store.get(std::string(fleet::owner_key))->revision, jobs_,
+             {});
+    report_all();
+    run_for(duration{600});
+    report_all();
+}
+
+std::vector<int> owner_fixture::servers_of(const std::string& job) const {
+    std::vector<int> found;
+    for (int n = 0; n < servers_; ++n) {
+        const auto it = owner.servers.find(agent_name(n));
+        if (it == owner.servers.end())
+            continue;
+        for (const auto& [name, assigned] : it->second.assigned)
+            if (name.job == job)
+                found.push_back(n);
+    }
+    return found;
+}
+
 int owner_fixture::assigned_tasks() const {
     std::size_t count = 0;
     for (const auto& [agent, server] : owner.servers)
--- a/tests/fleet/owner_fixture.hpp
+++ b/tests/fleet/owner_fixture.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace celerylift::test {
 
@@ -32,7 +33,12 @@
     /// Runs the owner's timers and the store's replies for a time.
     void run_for(duration time) { sim.run_for(time); }
 
+    /// Replaces the owner by the owner of the next epoch.
+    void take_over();
+
     int assigned_tasks() const;
+    /// The numbers of the servers that a job's tasks are assigned to, in order.
+    std::vector<int> servers_of(const std::string& job) const;
 
     simulation sim;
     virtual_process process{"owner", sim.now, sim.log};
@@ -40,6 +46,8 @@
     std::unique_ptr<fleet::store> client =
         store.client("owner", process.liveness());
     std::map<std::string, fleet::OwnerOrders> orders; // The latest, by agent.
+    /// What the agents have kept of an earlier owner, by server.
+    std::map<int, fleet::SpeedEstimate> kept_speeds;
     fleet::owner owner;
 
 private:
