Keep urgent gangs off servers that restart or fail repeatedly

Cause: a restart resets the health of a server, and its host is then as good as any other, or better: it is idle. Most late urgent jobs of the deployment with 72 servers had been restarted.

Ruled out: keeping the health across incarnations, since it excludes servers and would also take capacity from batch work; a class for silence, since servers without a report for 1.6 s get no work, and reports are 0.5 s apart.

Change: server_risk derives a class from the restarts, early failures and stalls of a host in the last 20 s. Urgent gangs use the lowest class that has room, and preempt on servers without risk where the loss stays within the limit of preemptions outside a guarantee. Restarts of more than a quarter of the servers within 2 s count for none. Switch avoid_risky_servers, event server_at_risk, gauge servers_at_risk.

--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -8,6 +8,7 @@
 #include <celerylift/fleet/runtime.hpp>
 #include <celerylift/fleet/scheduling_policy.hpp>
 #include <celerylift/fleet/server_health.hpp>
+#include <celerylift/fleet/server_risk.hpp>
 #include <celerylift/fleet/store.hpp>
 
 #include <fleet.pb.h>
@@ -93,6 +94,9 @@
     /// jobs' records is stored.
     std::vector<std::string> recorded_crashes;
     server_health health;
+    /// Of the host. Kept when the server starts again, unlike its health.
+    server_history history;
+    int known_risk = no_risk; // Risk class at the last check.
 };
 
 /// Capacity on some servers that is reserved for the tasks of a step until
@@ -135,6 +139,7 @@
     /// The first and the last of the latest series of counted crashes.
     time_point first_crash_at{};
     time_point last_crash_at{};
+    fleet_restarts restarts{};
     time_point last_new_server_at{}; // Latest first report of any server.
     std::set<std::string> expected_agents{}; // Have not reported yet.
     std::shared_ptr<const fleet_config> config{};
--- a/modules/fleet/include/celerylift/fleet/placement.hpp
+++ b/modules/fleet/include/celerylift/fleet/placement.hpp
@@ -28,6 +28,8 @@
     time_point last_healthy_at{};
     /// The server gets a single task until a run shows that it is healthy.
     bool on_probation = false;
+    /// Higher if the host has recently restarted or failed.
+    int risk_class = 0;
     std::size_t rack_number = 0;
     /// The server is kept free for other work than the current request.
     bool excluded_from_request = false;
@@ -66,6 +68,9 @@
     /// Excludes degraded servers. Set for work that a single slow or failing
     /// server delays as a whole.
     bool healthy_only = false;
+    /// Servers of a lower risk class go first. Set for urgent gangs, which are
+    /// late once they have lost a member.
+    bool prefer_low_risk = false;
     /// Whether servers on probation may be used.
     bool may_probe = false;
     std::string_view job;
--- a/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
+++ b/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
@@ -30,6 +30,8 @@
     bool move_from_slow_servers = true;
     /// Runs are moved away from servers that leave before the runs can end.
     bool evacuate_leaving_servers = true;
+    /// Urgent gangs keep off servers that have recently restarted or failed.
+    bool avoid_risky_servers = true;
 
     bool operator==(const scheduling_policy&) const = default;
 };
--- a/modules/fleet/include/celerylift/fleet/server_health.hpp
+++ b/modules/fleet/include/celerylift/fleet/server_health.hpp
@@ -39,6 +39,9 @@
 /// Records that a task took far longer than on other servers.
 void record_slow_run(server_health& health, time_point now);
 
+/// Whether a run that failed after `ran` indicates a faulty server.
+bool is_early_failure(duration ran);
+
 /// Whether a run that has lasted for `ran` shows that its server is healthy.
 bool run_proves_healthy(duration ran);
 
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -111,8 +111,11 @@
         server.usage.stale = true;
         server.lists_as_of_ms = 0;
         server.health = {};
+        if (!server.state.incarnation().empty())
+            note_restart(self, server);
     }
     server.state = state;
+    server.history.draining = state.draining();
     server.labels.assign(state.labels().begin(), state.labels().end());
     const auto copy = server.assigned;
     for (const auto& [name, assigned] : copy) {
@@ -209,6 +212,7 @@
 
 void clear_state(owner& self) {
     self.servers.clear();
+    self.restarts = {};
     self.jobs.clear();
     self.reservations.clear();
     self.agents_to_update.clear();
@@ -316,6 +320,7 @@
         if (add_due_occurrences(job, self.run.unix_ms(), self.run.now()))
             self.waiting_jobs.insert(id);
     lose_runs_of_unresponsive_servers(self);
+    check_risks(self);
     if (self.is_valid())
         remove_old_jobs(self);
     process_changes(self);
--- a/modules/fleet/src/owner_attempts.cpp
+++ b/modules/fleet/src/owner_attempts.cpp
@@ -19,9 +19,11 @@
 void count_failure(owner& self, server& server, job& job, task& task) {
     const auto now = self.run.now();
     const bool excluded = is_excluded(server.health, now);
-    record_failure(server.health, now,
-                   task.seen_running ? now - task.first_seen_running_at
-                                     : duration{0});
+    const auto ran =
+        task.seen_running ? now - task.first_seen_running_at : duration{0};
+    record_failure(server.health, now, ran);
+    if (is_early_failure(ran))
+        record_early_failure(server.history, now);
     if (!excluded && is_excluded(server.health, now)) {
         self.run.journal.event(
             "server_excluded",
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -101,6 +101,8 @@
         candidate.recently_healthy = is_recently_healthy(server.health, now);
         candidate.last_healthy_at = server.health.last_healthy_at;
         candidate.on_probation = server.health.on_probation;
+        if (self.policy.avoid_risky_servers)
+            candidate.risk_class = risk_class(server.history, now);
         candidate.job = server.usage.occupancy.job;
         candidate.is_shared = server.usage.occupancy.is_shared;
         candidate.last_job = server.usage.occupancy.last_job;
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -90,6 +90,13 @@
 /// Completes a job once all of its work is done.
 void update_state(owner& self, job& job);
 
+/// Notes that the server of an agent has started again. Where so many servers
+/// do so at once that they have lost power, that raises the risk of none.
+void note_restart(owner& self, server& server);
+
+/// Reports the servers whose risk class has risen, and counts the risky ones.
+void check_risks(owner& self);
+
 /// Applies the list of running tasks in a server's report. Stops runs that
 /// stall or are slow, so that they restart elsewhere.
 void apply_running(owner& self, server& server, const AgentReport& report);
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -325,6 +325,8 @@
     request.healthy_only = waiting_time(self, tasks.front()) <
                            (unit.priority == 0 ? max_urgent_wait_for_healthy
                                                : max_wait_for_healthy);
+    request.prefer_low_risk =
+        self.policy.avoid_risky_servers && unit.priority == 0;
     return request;
 }
 
--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -130,6 +130,7 @@
     ++task.stalls;
     task.avoid_agent = task.agent;
     record_stall(server.health, self.run.now());
+    record_stall(server.history, self.run.now());
     self.run.journal.event(
         "run_stands_still",
         {{"task", to_string(task.name)},
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -125,6 +125,7 @@
     std::vector<std::string> agents;
     std::vector<task_name> stops;
     double cost = 0;
+    int risk = 0; // Sum of the risk classes, by task.
 };
 
 /// How many tasks on a server, cheapest first, must be preempted so that one
@@ -176,14 +177,20 @@
         ++placed[best->candidate.agent];
         result.agents.emplace_back(best->candidate.agent);
         result.cost += best_need.second;
+        result.risk += best->candidate.risk_class;
     }
     return result;
 }
 
+/// The risk of a plan, or 0 if the request does not consider it.
+int risk_of(const preemption_plan& plan, const placement_request& request) {
+    return request.prefer_low_risk ? plan.risk : 0;
+}
+
 std::vector<server_plan> servers_to_preempt_on(const owner& self,
                                                schedule_pass& pass,
                                                const placement_request& request,
-                                               int priority) {
+                                               int priority, int max_risk) {
     gather_preemptible(self, pass, priority);
     auto candidates = pass.candidates;
     for (const auto& reservation : self.reservations)
@@ -192,19 +199,27 @@
     std::vector<server_plan> servers;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         if (!is_eligible(candidates[i], request) ||
-            !admits(candidates[i], request))
+            !admits(candidates[i], request) ||
+            candidates[i].risk_class > max_risk)
             continue;
         candidates[i].free += pass.being_freed[i];
         servers.push_back({candidates[i], pass.preemptible[i]});
     }
+    // Of servers with equal costs a plan uses the first ones.
+    if (request.prefer_low_risk)
+        std::ranges::stable_sort(servers, {}, [](const server_plan& server) {
+            return server.candidate.risk_class;
+        });
     return servers;
 }
 
 std::optional<preemption_plan> cheapest_plan(const owner& self,
                                              schedule_pass& pass,
                                              const placement_request& request,
-                                             int priority) {
-    const auto servers = servers_to_preempt_on(self, pass, request, priority);
+                                             int priority,
+                                             int max_risk = leaving_risk) {
+    const auto servers =
+        servers_to_preempt_on(self, pass, request, priority, max_risk);
     if (!request.same_rack)
         return plan_among(servers, request);
     std::map<std::size_t, std::vector<server_plan>> racks;
@@ -213,12 +228,29 @@
     std::optional<preemption_plan> best;
     for (const auto& [rack, members] : racks) {
         const auto found = plan_among(members, request);
-        if (found && (!best || found->cost < best->cost))
+        if (found &&
+            (!best || std::pair{found->cost, risk_of(*found, request)} <
+                          std::pair{best->cost, risk_of(*best, request)}))
             best = found;
     }
     return best;
 }
 
+/// The cheapest plan, or the cheapest one without risky servers if that loses
+/// no more than urgent work may preempt at will.
+std::optional<preemption_plan> safest_plan(const owner& self,
+                                           schedule_pass& pass,
+                                           const placement_request& request,
+                                           int priority) {
+    auto cheapest = cheapest_plan(self, pass, request, priority);
+    if (!cheapest || risk_of(*cheapest, request) == 0)
+        return cheapest;
+    auto safe = cheapest_plan(self, pass, request, priority, no_risk);
+    const bool may_use_safe =
+        safe && safe->cost <= std::max(cheapest->cost, max_lost_core_seconds);
+    return may_use_safe ? safe : cheapest;
+}
+
 /// Counts the accelerators in use by urgent work, by organisation.
 std::map<std::string, std::int64_t>
 count_urgent_accelerators(const owner& self) {
@@ -263,14 +295,14 @@
                                          const placement_request& request,
                                          int priority) {
     auto relaxed = request;
-    auto found = cheapest_plan(self, pass, relaxed, priority);
+    auto found = safest_plan(self, pass, relaxed, priority);
     if (!found && relaxed.same_rack) {
         relaxed.same_rack = false;
-        found = cheapest_plan(self, pass, relaxed, priority);
+        found = safest_plan(self, pass, relaxed, priority);
     }
     if (!found && relaxed.healthy_only) {
         relaxed.healthy_only = false;
-        found = cheapest_plan(self, pass, relaxed, priority);
+        found = safest_plan(self, pass, relaxed, priority);
     }
     return found;
 }
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -39,8 +39,9 @@
 }
 
 /// Lower is better: servers that are not degraded, those shown to be healthy if
-/// the request prefers them, the preferred rack, then the least free capacity.
-using preference = std::tuple<bool, int, bool, std::int64_t, std::int64_t>;
+/// the request prefers them, the preferred rack, the lowest risk if the request
+/// prefers it, then the least free capacity.
+using preference = std::tuple<bool, int, bool, int, std::int64_t, std::int64_t>;
 
 /// How little is known about a server's health; 0 if that does not matter.
 int health_uncertainty(const candidate_server& server,
@@ -64,6 +65,7 @@
     preference order_key;
     std::size_t index = 0;
     std::int64_t slots = 0;
+    int risk_class = 0; // 0 if the request does not consider it.
 
     auto operator<=>(const ranked_server&) const = default;
 };
@@ -74,11 +76,12 @@
     std::int64_t slots = 0;
     int degraded = 0;
     bool outside_preferred_rack = false;
+    int risk = 0; // Of the servers that the tasks would use.
     resources free;
 
     auto order_key() const {
-        return std::tuple{degraded, outside_preferred_rack, free.accelerators,
-                          free.millicores};
+        return std::tuple{degraded, outside_preferred_rack, risk,
+                          free.accelerators, free.millicores};
     }
 };
 
@@ -88,6 +91,7 @@
     const bool outside_preferred_rack =
         is_outside_preferred_rack(server, request);
     const auto slots = slots_on(server, request);
+    const int risk_class = request.prefer_low_risk ? server.risk_class : 0;
     group.degraded += degraded ? 1 : 0;
     group.outside_preferred_rack =
         group.outside_preferred_rack || outside_preferred_rack;
@@ -96,14 +100,30 @@
     if (slots > 0)
         group.servers.push_back(
             {{degraded, health_uncertainty(server, request),
-              outside_preferred_rack, server.free.accelerators,
+              outside_preferred_rack, risk_class, server.free.accelerators,
               server.free.millicores},
              index,
-             slots});
+             slots,
+             risk_class});
+}
+
+/// The sum of the risk classes of the servers that the tasks would use. A gang
+/// is lost with any of them.
+int risk_of(server_group& group, const placement_request& request) {
+    std::ranges::sort(group.servers);
+    std::int64_t slots = 0;
+    int risk = 0;
+    for (const auto& server : group.servers) {
+        if (slots >= request.count)
+            break;
+        slots += server.slots;
+        risk += server.risk_class;
+    }
+    return risk;
 }
 
 /// Groups in order of preference: the fewest degraded servers, the preferred
-/// rack, then the least free capacity.
+/// rack, the lowest risk, then the least free capacity.
 std::vector<server_group>
 groups_in_order(const std::vector<candidate_server>& candidates,
                 const placement_request& request) {
@@ -117,6 +137,9 @@
     groups.reserve(racks.size());
     for (auto& [rack, group] : racks)
         groups.push_back(std::move(group));
+    if (request.prefer_low_risk)
+        for (auto& group : groups)
+            group.risk = risk_of(group, request);
     std::ranges::stable_sort(groups, {}, [](const server_group& group) {
         return group.order_key();
     });
--- a/modules/fleet/src/server_health.cpp
+++ b/modules/fleet/src/server_health.cpp
@@ -42,7 +42,7 @@
 
 void record_failure(server_health& health, time_point now, duration ran) {
     ++health.consecutive_failures;
-    if (ran < early_failure_limit || health.on_probation ||
+    if (is_early_failure(ran) || health.on_probation ||
         health.consecutive_failures >= failures_to_exclude)
         return exclude(health, now);
     if (health.consecutive_failures >= failures_to_degrade)
@@ -87,6 +87,10 @@
                  now + first_degraded_time_when_slow * (1 << doublings));
 }
 
+bool is_early_failure(duration ran) {
+    return ran < early_failure_limit;
+}
+
 bool run_proves_healthy(duration ran) {
     return ran >= healthy_run_time;
 }
