Shorten the time until an urgent gang that lost a member starts again

Cause: two delays between the end of a member and the next start. Where other jobs had tasks on all servers, the gang waited 2.5 s (6 s on a busy service) for servers of its own, since the crash of a server might have been its fault. And the record of the ends was written before that of the next start, so the start waited for two writes. A lost run did not count as a failure, and no pause of failed work applied.

Ruled out: giving up runs of a server that refuses connections, or that a poll shows as a new incarnation before its heartbeat, since a start may still be under way; stopping batch work to empty servers for the gang, which loses work; no suspicion after the first crash, which would break the bound on crashes.

Change: members of an urgent gang that a single crash has hit together with other jobs may share servers at once. The suspicion stays on record, and another crash ends the exemption. The job's write waits up to 50 ms for the next start; servers keep the ends until then.

--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -102,6 +102,9 @@
     std::uint64_t stored_version = 0;
     std::int64_t record_revision = 0; // Of the progress record in the store.
     bool write_in_flight = false;
+    /// Until then the next start of a gang is expected, which needs a write. A
+    /// write for its ends alone would hold that one up.
+    time_point write_held_until{};
     time_point checkpoints_stored_at{};
     time_point first_seen_at{};
 };
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -14,6 +14,10 @@
 /// The maximum of a queue decays to its average over some tens of runs.
 constexpr int max_decay_run_count = 20;
 
+/// The stop of a gang's members mostly takes some ten milliseconds, and the
+/// next pass follows at once.
+constexpr duration max_write_hold{50};
+
 void update_checkpoint(task& task, const std::string& checkpoint) {
     if (!checkpoint.empty())
         task.checkpoint = checkpoint;
@@ -63,11 +67,23 @@
     }
 }
 
+/// Delays the write of a job whose urgent gang is about to start again, so that
+/// its ends and its next start are written together. The servers keep the ends
+/// until then.
+void hold_write(owner& self, job& job) {
+    if (priority_of(self, job) == 0)
+        job.write_held_until = self.run.now() + max_write_hold;
+}
+
 /// Handles a gang member whose run has ended without success. Stops the others.
 void resolve_member(owner& self, job& job, task& task, const char* why) {
     task.ended_in_gang = true;
     invalidate_usage(self, task.agent);
     auto& step = step_run_of(job, task.name);
+    const auto ended = std::ranges::count_if(step.tasks, &task::ended_in_gang);
+    // Not at each end: a member that does not end must not hold up the others.
+    if (ended == 1 || ended == std::ssize(step.tasks))
+        hold_write(self, job);
     for (auto& other : step.tasks)
         if (other.phase == task_phase::assigned && !other.ended_in_gang &&
             !other.stopping)
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -51,6 +51,7 @@
     server.usage.stale = true;
     self.agents_to_update.insert(server.agent);
     mark_changed(self, job);
+    job.write_held_until = {};
     task.assigned_version = job.version;
     job.begun = true;
     if (job.state == JOB_PENDING)
@@ -142,9 +143,18 @@
     request.max_jobs_of_crash = task.jobs_of_crash / 2;
 }
 
+/// Whether a suspect may share servers at once: a member of an urgent gang that
+/// a single crash has hit, together with other jobs. Such suspects are mostly
+/// innocent, and the gang would be late. Another crash ends the exemption.
+bool is_exempt_from_own_servers(const owner& self, const job& job,
+                                const task& task) {
+    return self.policy.avoid_risky_servers && priority_of(self, job) == 0 &&
+           step_of(job, task.name).gang() && !weak_suspect_of(task).empty();
+}
+
 bool needs_own_servers(const owner& self, const schedule_pass& pass,
                        const job& job, const task& task) {
-    if (!is_suspect(task))
+    if (!is_suspect(task) || is_exempt_from_own_servers(self, job, task))
         return false;
     const bool is_short = step_of(job, task.name).lasting() ||
                           is_mostly_idle(pass, queue_of(self, job)->service);
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -39,13 +39,18 @@
     return bytes;
 }
 
+bool is_held(const owner& self, const job& job) {
+    return self.run.now() < job.write_held_until && !is_final(job.state);
+}
+
 std::vector<job_write> collect_changed_jobs(owner& self) {
     std::vector<job_write> batch;
     for (auto it = self.unwritten_jobs.begin();
          it != self.unwritten_jobs.end() && batch.size() < max_jobs_per_write &&
          self.bytes_in_flight + size_of(batch) < max_bytes_in_flight;) {
         const auto found = self.jobs.find(*it);
-        if (found != self.jobs.end() && found->second.write_in_flight) {
+        if (found != self.jobs.end() &&
+            (found->second.write_in_flight || is_held(self, found->second))) {
             ++it;
             continue;
         }
--- a/tests/fleet/server_risk_test.cpp
+++ b/tests/fleet/server_risk_test.cpp
@@ -1,5 +1,6 @@
 // The risk of servers as the owner derives it from the recent history of their
-// hosts, and the choice of servers for urgent gangs by it.
+// hosts, the choice of servers for urgent gangs by it, and the time in which a
+// gang that has lost a member starts again.
 #include "owner_fixture.hpp"
 #include "virtual_fleet.hpp"
 
@@ -342,4 +343,112 @@
     EXPECT_EQ(count_risky(fleet), 0);
 }
 
+// ---- From the end of a member to the next start ----
+
+namespace {
+
+/// When the first line with an event and a text was written.
+std::optional<int> time_of(const virtual_fleet& fleet, const std::string& event,
+                           const std::string& text) {
+    for (const auto& line : fleet.sim.log)
+        if (line.find("\"" + event + "\"") != line.npos &&
+            line.find(text) != line.npos)
+            return std::stoi(line.substr(line.find(':') + 1));
+    return std::nullopt;
+}
+
+/// Crashes the server of a gang's first member and measures from the loss of
+/// the run to the next start of that member.
+int measure_restart(virtual_fleet& fleet) {
+    const auto member = fleet::to_string({job_id(1), 0, 0, 0});
+    submit_urgent(fleet, make_gang(job_id(1), "ms=6000", 3, half_server));
+    fleet.sim.run_for(duration{1300});
+    const auto& id = fleet.history.running.at(member);
+    fleet.server(id.back() - '0').crash_for(short_outage);
+    fleet.sim.run_for(duration{5000});
+    const auto lost = time_of(fleet, "run_lost", member);
+    const auto again = time_of(fleet, "start_sent", member + "\",\"run\":2");
+    expect_no_violations(fleet);
+    if (!lost || !again)
+        return -1;
+    fmt::print("the gang starts again after {} ms\n", *again - *lost);
+    return *again - *lost;
+}
+
+} // namespace
+
+// The record of the ends was written first, and the start waited for two
+// writes: 80 ms here.
+TEST(gang_that_loses_a_member, waits_for_one_write_only) {
+    virtual_fleet fleet;
+    fleet.store.one_way_delay = duration{20};
+    const int restart_ms = measure_restart(fleet);
+    EXPECT_GT(restart_ms, 0);
+    EXPECT_LE(restart_ms, 55);
+}
+
+// The gang waited 2.5 s for servers without other jobs, since the crash might
+// have been its fault.
+TEST(gang_that_loses_a_member, starts_again_beside_other_jobs) {
+    virtual_fleet fleet;
+    auto batch = make_job(job_id(9), "ms=60000", 6, one_accelerator);
+    batch.mutable_steps(0)->set_anti_affinity(1);
+    fleet.submit_async(batch, 1, "kwela-key", "/normal/");
+    fleet.sim.run_for(duration{1500}); // No rack is kept free any more.
+    ASSERT_EQ(fleet.history.running.size(), 6U);
+    const int restart_ms = measure_restart(fleet);
+    EXPECT_GT(restart_ms, 0);
+    EXPECT_LE(restart_ms, 20);
+}
+
+// The record of the ends waits for the next start. An owner that was lost
+// meanwhile must not leave the gang without a run, or with two.
+TEST(gang_that_loses_a_member, starts_again_once_if_its_owner_is_lost_too) {
+    for (int lost_after = 2; lost_after <= 100; lost_after += 7) {
+        virtual_fleet fleet;
+        for (int n = 1; n <= 6; ++n)
+            fleet.server(n).stop_time = duration{30};
+        submit_urgent(fleet, make_gang(job_id(1), "ms=6000", 3, half_server));
+        fleet.sim.run_for(duration{1300});
+        fleet.server(1).crash_for(short_outage);
+        ASSERT_TRUE(fleet.sim.run_until(
+            [&] { return count_events(fleet, "run_lost") > 0; },
+            duration{2000}));
+        fleet.sim.run_for(duration{lost_after});
+        fleet.kill_entry(fleet.owner_entry());
+        const int other = fleet.has_entry(2) ? 2 : 3;
+        EXPECT_TRUE(fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED,
+                                         duration{20'000}, other))
+            << lost_after;
+        expect_no_violations(fleet);
+    }
+}
+
+// The gang may share servers after its first crash only. Sharing must not make
+// it crash more servers than the bound on starts allows, nor fail other jobs.
+TEST(urgent_gang_that_crashes_its_servers, is_given_up_and_fails_no_other) {
+    for (const int time : {20, 300, 1200}) {
+        virtual_fleet fleet;
+        for (int n = 1; n <= 6; ++n)
+            fleet.submit_async(
+                make_job(job_id(n), "ms=6000", 6, one_accelerator), 1,
+                "kwela-key", "/normal/");
+        fleet.sim.run_for(duration{1000});
+        for (int n = 20; n <= 21; ++n)
+            fleet.submit_async(make_gang(job_id(n),
+                                         fmt::format("crash={} index=1", time),
+                                         3, one_accelerator),
+                               2, "kwela-key", "/urgent/");
+        for (int n = 20; n <= 21; ++n)
+            EXPECT_TRUE(fleet.wait_for_state(job_id(n), fleet::JOB_FAILED,
+                                             duration{60'000}))
+                << time;
+        for (int n = 1; n <= 6; ++n)
+            EXPECT_TRUE(fleet.wait_for_state(job_id(n), fleet::JOB_COMPLETED,
+                                             duration{60'000}))
+                << time;
+        expect_no_violations(fleet);
+    }
+}
+
 } // namespace celerylift::test
