--- a/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
+++ b/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
@@ -32,6 +32,8 @@
     bool evacuate_leaving_servers = true;
     /// Work is placed by the speeds that servers have shown.
     bool use_server_speeds = true;
+    /// Urgent gangs keep off servers that have recently restarted or failed.
+    bool avoid_risky_servers = true;
 
     bool operator==(const scheduling_policy&) const = default;
 };
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -113,8 +113,11 @@
         server.health = {};
         forget_speed(self, server);
         inherit_speed(server, state.speed());
+        if (!server.state.incarnation().empty())
+            note_restart(self, server);
     }
     server.state = state;
+    server.history.draining = state.draining();
     server.labels.assign(state.labels().begin(), state.labels().end());
     const auto copy = server.assigned;
     for (const auto& [name, assigned] : copy) {
@@ -211,6 +214,7 @@
 
 void clear_state(owner& self) {
     self.servers.clear();
+    self.restarts = {};
     self.jobs.clear();
     self.reservations.clear();
     self.timed_runs.clear();
@@ -321,6 +325,7 @@
         if (add_due_occurrences(job, self.run.unix_ms(), self.run.now()))
             self.waiting_jobs.insert(id);
     lose_runs_of_unresponsive_servers(self);
+    check_risks(self);
     if (self.is_valid())
         remove_old_jobs(self);
     update_speeds(self);
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -19,6 +19,10 @@
 /// urgent job.
 constexpr double max_lost_core_seconds = 600.0;
 
+/// The share of a run's work that is expected to be lost on a risky server:
+/// even odds of a restart, halfway through the run.
+constexpr double loss_by_restart = 0.25;
+
 /// Weight of the work that a task has lost to earlier stops. Each stop delays
 /// its job further, until the job earns no payoff.
 constexpr double earlier_loss_weight = 2.0;
@@ -125,6 +129,7 @@
     std::vector<std::string> agents;
     std::vector<task_name> stops;
     double cost = 0;
+    int risk = 0; // Sum of the risk classes, by task.
 };
 
 /// How many tasks on a server, cheapest first, must be preempted so that one
@@ -176,14 +181,20 @@
         ++placed[best->candidate.agent];
         result.agents.emplace_back(best->candidate.agent);
         result.cost += best_need.second;
+        result.risk += best->candidate.risk_class;
     }
     return result;
 }
 
+/// The risk of a plan, or 0 if the request does not consider it.
+int risk_of(const preemption_plan& plan, const placement_request& request) {
+    return request.prefer_low_risk ? plan.risk : 0;
+}
+
 std::vector<server_plan> servers_to_preempt_on(const owner& self,
                                                schedule_pass& pass,
                                                const placement_request& request,
-                                               int priority) {
+                                               int priority, int max_risk) {
     gather_preemptible(self, pass, priority);
     auto candidates = pass.candidates;
     for (const auto& reservation : self.reservations)
@@ -192,19 +203,27 @@
     std::vector<server_plan> servers;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         if (!is_eligible(candidates[i], request) ||
-            !admits(candidates[i], request))
+            !admits(candidates[i], request) ||
+            candidates[i].risk_class > max_risk)
             continue;
         candidates[i].free += pass.being_freed[i];
         servers.push_back({candidates[i], pass.preemptible[i]});
     }
+    // Of servers with equal costs a plan uses the first ones.
+    if (request.prefer_low_risk)
+        std::ranges::stable_sort(servers, {}, [](const server_plan& server) {
+            return server.candidate.risk_class;
+        });
     return servers;
 }
 
 std::optional<preemption_plan> cheapest_plan(const owner& self,
                                              schedule_pass& pass,
                                              const placement_request& request,
-                                             int priority) {
-    const auto servers = servers_to_preempt_on(self, pass, request, priority);
+                                             int priority,
+                                             int max_risk = leaving_risk) {
+    const auto servers =
+        servers_to_preempt_on(self, pass, request, priority, max_risk);
     if (!request.same_rack)
         return plan_among(servers, request);
     std::map<std::size_t, std::vector<server_plan>> racks;
@@ -213,12 +232,36 @@
     std::optional<preemption_plan> best;
     for (const auto& [rack, members] : racks) {
         const auto found = plan_among(members, request);
-        if (found && (!best || found->cost < best->cost))
+        if (found &&
+            (!best || std::pair{found->cost, risk_of(*found, request)} <
+                          std::pair{best->cost, risk_of(*best, request)}))
             best = found;
     }
     return best;
 }
 
+/// What one run of a request is worth, in core-seconds.
+double core_seconds_of(const placement_request& request) {
+    return cores_of(request.each) * request.count *
+           std::chrono::duration<double>(request.expected_run).count();
+}
+
+/// The cheapest plan, or the cheapest one without risky servers if the
+/// difference is less than what a restart there may be expected to lose.
+std::optional<preemption_plan> safest_plan(const owner& self,
+                                           schedule_pass& pass,
+                                           const placement_request& request,
+                                           int priority) {
+    auto cheapest = cheapest_plan(self, pass, request, priority);
+    if (!cheapest || risk_of(*cheapest, request) == 0)
+        return cheapest;
+    auto safe = cheapest_plan(self, pass, request, priority, no_risk);
+    const bool may_use_safe =
+        safe && safe->cost <=
+                    cheapest->cost + loss_by_restart * core_seconds_of(request);
+    return may_use_safe ? safe : cheapest;
+}
+
 /// Counts the accelerators in use by urgent work, by organisation.
 std::map<std::string, std::int64_t>
 count_urgent_accelerators(const owner& self) {
@@ -265,16 +308,16 @@
                                          const placement_request& request,
                                          int priority) {
     auto relaxed = request;
-    auto found = cheapest_plan(self, pass, relaxed, priority);
+    auto found = safest_plan(self, pass, relaxed, priority);
     if (request.within_limit_only)
         return found;
     if (!found && relaxed.same_rack) {
         relaxed.same_rack = false;
-        found = cheapest_plan(self, pass, relaxed, priority);
+        found = safest_plan(self, pass, relaxed, priority);
     }
     if (!found && relaxed.healthy_only) {
         relaxed.healthy_only = false;
-        found = cheapest_plan(self, pass, relaxed, priority);
+        found = safest_plan(self, pass, relaxed, priority);
     }
     return found;
 }
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-/// Ranks servers that are too slow for a request behind all others. Above the
-/// classes of all factors that occur.
-constexpr int too_slow_rank = 1000;
-
 std::int64_t count_that_fit(std::int64_t free, std::int64_t each) {
     if (each <= 0)
         return std::numeric_limits<std::int64_t>::max();
@@ -51,11 +47,6 @@
         request.max_per_server - already_running(server, request), 0, slots);
 }
 
-/// Lower is better: servers that are not degraded, those shown to be healthy if
-/// the request prefers them, the preferred rack, the speed that suits the
-/// request, then the least free capacity.
-using preference = std::tuple<bool, int, bool, int, std::int64_t, std::int64_t>;
-
 /// How badly a server's speed suits a request.
 int speed_rank(const candidate_server& server,
                const placement_request& request) {
@@ -66,13 +57,19 @@
     case speed_order::fastest_first:
         return rank;
     case speed_order::slowest_first:
-        return server.slowness <= request.slowness_limit ? -rank
-                                                         : rank + too_slow_rank;
+        return -rank;
     default:
         return 0;
     }
 }
 
+bool is_too_slow(const candidate_server& server,
+                 const placement_request& request) {
+    return request.by_speed != speed_order::none &&
+           !is_explored(server, request) &&
+           server.slowness > request.slowness_limit;
+}
+
 /// How little is known about a server's health; 0 if that does not matter.
 int health_uncertainty(const candidate_server& server,
                        const placement_request& request) {
@@ -90,6 +87,34 @@
            server.rack != request.preferred_rack;
 }
 
+/// How well a server suits a request, by what counts most first. Lower is
+/// better.
+struct preference {
+    bool degraded = false;
+    int health_uncertainty = 0;
+    bool outside_preferred_rack = false;
+    bool too_slow = false;
+    int risk_class = 0; // 0 if the request does not consider it.
+    int speed_rank = 0;
+    /// The least free capacity first.
+    std::int64_t free_accelerators = 0;
+    std::int64_t free_millicores = 0;
+
+    auto operator<=>(const preference&) const = default;
+};
+
+preference preference_for(const candidate_server& server,
+                          const placement_request& request) {
+    return {server.health_score < min_health_score,
+            health_uncertainty(server, request),
+            is_outside_preferred_rack(server, request),
+            is_too_slow(server, request),
+            request.prefer_low_risk ? server.risk_class : 0,
+            speed_rank(server, request),
+            server.free.accelerators,
+            server.free.millicores};
+}
+
 /// A server and the number of tasks that fit on it.
 struct ranked_server {
     preference order_key;
@@ -105,55 +130,54 @@
     std::int64_t slots = 0;
     int degraded = 0;
     bool outside_preferred_rack = false;
+    /// Of the servers that the tasks would use. Work that takes the fastest
+    /// servers first is as slow as the slowest of them.
+    bool too_slow = false;
+    int risk = 0;
     int speed_rank = 0;
     resources free;
 
     auto order_key() const {
-        return std::tuple{degraded, outside_preferred_rack, speed_rank,
-                          free.accelerators, free.millicores};
+        return std::tuple{
+            degraded,   outside_preferred_rack, too_slow,       risk,
+            speed_rank, free.accelerators,      free.millicores};
     }
 };
 
 void add_member(server_group& group, const candidate_server& server,
                 std::size_t index, const placement_request& request) {
-    const bool degraded = server.health_score < min_health_score;
-    const bool outside_preferred_rack =
-        is_outside_preferred_rack(server, request);
+    const auto preference = preference_for(server, request);
     const auto slots = slots_on(server, request);
-    group.degraded += degraded ? 1 : 0;
+    group.degraded += preference.degraded ? 1 : 0;
     group.outside_preferred_rack =
-        group.outside_preferred_rack || outside_preferred_rack;
+        group.outside_preferred_rack || preference.outside_preferred_rack;
     group.free += server.free;
     group.slots += slots;
     if (slots > 0)
-        group.servers.push_back(
-            {{degraded, health_uncertainty(server, request),
-              outside_preferred_rack, speed_rank(server, request),
-              server.free.accelerators, server.free.millicores},
-             index,
-             slots});
+        group.servers.push_back({preference, index, slots});
 }
 
-/// The speed rank of the slowest server that the tasks need if they take the
-/// fastest of a group. A gang is as slow as its slowest member.
-int slowest_rank_needed(const server_group& group,
-                        const placement_request& request) {
-    if (request.by_speed != speed_order::fastest_first)
-        return 0;
-    std::map<int, std::int64_t> slots;
-    for (const auto& server : group.servers)
-        slots[std::get<3>(server.order_key)] += server.slots;
-    std::int64_t total = 0;
-    for (const auto& [rank, count] : slots) {
-        total += count;
-        if (total >= request.count)
-            return rank;
+/// Sums up the risk and the speed of the servers that the tasks would use. A
+/// gang is lost with any of them, and as slow as the slowest.
+void rate_servers_used(server_group& group, const placement_request& request) {
+    std::ranges::sort(group.servers);
+    std::int64_t slots = 0;
+    int slowest_rank = std::numeric_limits<int>::min();
+    for (const auto& server : group.servers) {
+        if (slots >= request.count)
+            break;
+        slots += server.slots;
+        group.too_slow = group.too_slow || server.order_key.too_slow;
+        group.risk += server.order_key.risk_class;
+        slowest_rank = std::max(slowest_rank, server.order_key.speed_rank);
     }
-    return too_slow_rank;
+    if (request.by_speed == speed_order::fastest_first)
+        group.speed_rank = slowest_rank;
 }
 
 /// Groups in order of preference: the fewest degraded servers, the preferred
-/// rack, the speed that suits the request, then the least free capacity.
+/// rack, servers that are fast enough, the lowest risk, the speed that suits
+/// the request, then the least free capacity.
 std::vector<server_group>
 groups_in_order(const std::vector<candidate_server>& candidates,
                 const placement_request& request) {
@@ -165,8 +189,11 @@
                        candidates[i], i, request);
     std::vector<server_group> groups;
     groups.reserve(racks.size());
+    const bool rates_servers = request.prefer_low_risk ||
+                               request.by_speed == speed_order::fastest_first;
     for (auto& [rack, group] : racks) {
-        group.speed_rank = slowest_rank_needed(group, request);
+        if (rates_servers)
+            rate_servers_used(group, request);
         groups.push_back(std::move(group));
     }
     std::ranges::stable_sort(groups, {}, [](const server_group& group) {
--- a/modules/fleet/src/scheduling_policy.cpp
+++ b/modules/fleet/src/scheduling_policy.cpp
@@ -17,6 +17,7 @@
         {"move_from_slow_servers", &policy::move_from_slow_servers},
         {"evacuate_leaving_servers", &policy::evacuate_leaving_servers},
         {"use_server_speeds", &policy::use_server_speeds},
+        {"avoid_risky_servers", &policy::avoid_risky_servers},
     };
     return switches;
 }
