--- a/modules/fleet/include/celerylift/fleet/watch_cache.hpp
+++ b/modules/fleet/include/celerylift/fleet/watch_cache.hpp
@@ -43,13 +43,17 @@
     /// When the store last answered.
     time_point last_answer() const { return last_answer_; }
 
+    /// All changes up to this time have been reported: when the last call was
+    /// sent that the store has answered.
+    time_point confirmed_at() const { return confirmed_at_; }
+
 private:
     void read_page();
     void handle_page(const range_reply& page);
     void finish_reading();
     void wait_for_changes();
-    void handle_changes(const watch_reply& reply);
-    void apply_changes(const watch_reply& reply);
+    void handle_changes(const watch_reply& reply, time_point sent_at);
+    void apply_changes(const watch_reply& reply, time_point sent_at);
     /// Gives the next call of its kind more time if one has timed out.
     void grow_if_timed_out(growing_timeout& timeout, const char* call,
                            time_point sent_at, store_status status);
@@ -74,6 +78,8 @@
     bool catching_up_ = false;
     bool reachable_ = true;
     time_point last_answer_{};
+    time_point read_sent_at_{}; // Of the first page.
+    time_point confirmed_at_{};
 };
 
 } // namespace celerylift::fleet
--- a/modules/fleet/src/watch_cache.cpp
+++ b/modules/fleet/src/watch_cache.cpp
@@ -64,6 +64,8 @@
 }
 
 void watch_cache::read_page() {
+    if (read_as_of_ == 0)
+        read_sent_at_ = run_.now();
     store_.range(prefix_, last_read_key_, read_timeout_.value(),
                  [this, sent_at = run_.now()](const range_reply& page) {
                      grow_if_timed_out(read_timeout_, "page", sent_at,
@@ -99,6 +101,7 @@
     keys_read_.clear();
     read_timeout_.reset();
     as_of_ = std::max(as_of_, read_as_of_);
+    confirmed_at_ = std::max(confirmed_at_, read_sent_at_);
     loaded_ = true;
     run_.journal.event(
         "store_read",
@@ -114,11 +117,11 @@
                  [this, sent_at = run_.now()](const watch_reply& reply) {
                      grow_if_timed_out(watch_timeout_, "watch", sent_at,
                                        reply.status);
-                     handle_changes(reply);
+                     handle_changes(reply, sent_at);
                  });
 }
 
-void watch_cache::handle_changes(const watch_reply& reply) {
+void watch_cache::handle_changes(const watch_reply& reply, time_point sent_at) {
     if (reply.status == store_status::compacted) {
         run_.journal.event("store_history_dropped",
                            {{"prefix", prefix_}, {"as_of", as_of_}});
@@ -132,17 +135,18 @@
         run_.journal.event("store_regained",
                            {{"prefix", prefix_}, {"as_of", reply.as_of}});
     reachable_ = true;
-    apply_changes(reply);
+    apply_changes(reply, sent_at);
     if (reply.changes.empty() || batch_interval_ == duration{0})
         return wait_for_changes();
     run_.timers.once(run_.now() + batch_interval_,
                      [this](time_point) { wait_for_changes(); });
 }
 
-void watch_cache::apply_changes(const watch_reply& reply) {
+void watch_cache::apply_changes(const watch_reply& reply, time_point sent_at) {
     for (const auto& change : reply.changes)
         apply(change);
     as_of_ = std::max(as_of_, reply.as_of);
+    confirmed_at_ = std::max(confirmed_at_, sent_at);
     if (on_progress_)
         on_progress_();
 }
@@ -158,7 +162,7 @@
                      if (reply.status != store_status::ok)
                          return;
                      catch_up_timeout_.shrink();
-                     apply_changes(reply);
+                     apply_changes(reply, sent_at);
                  });
 }
 
