Use cold servers like slow ones

Cause: on some platforms a server is slow for a while after its start, and states in its heartbeats for how much longer. Such servers got work like all others.

The agent reports the time left, at once when a server turns cold, and for that time the owner counts the server as degraded: gangs avoid it for as long as they wait for healthy servers, other work uses it last. Its record of health is left alone, which describes what runs have shown.

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -67,6 +67,8 @@
     /// reports a remaining time.
     time_point earliest_shutdown_at{};
     std::string incarnation{};
+    /// Until then the server is slow after its start.
+    time_point cold_until{};
     bool departed = false;
     /// When the agent last took the server for departed. The owner gives up the
     /// server's runs, so orders that answer an earlier report count no more.
--- a/modules/fleet/include/celerylift/fleet/backend_server.hpp
+++ b/modules/fleet/include/celerylift/fleet/backend_server.hpp
@@ -27,6 +27,8 @@
     /// While draining: the minimum time for which the server keeps running
     /// tasks. 0 where the server does not report it.
     duration remaining{0};
+    /// For how much longer the server is slow after its start.
+    duration cold_left{0};
 };
 
 /// Outcome of a call to a backend server. `refused`: the call had no effect.
--- a/modules/fleet/src/agent.cpp
+++ b/modules/fleet/src/agent.cpp
@@ -37,6 +37,7 @@
 void apply_heartbeat(agent& self, const server_heartbeat& heartbeat) {
     self.last_heartbeat = heartbeat;
     self.earliest_shutdown_at = self.run.now() + heartbeat.remaining;
+    self.cold_until = self.run.now() + heartbeat.cold_left;
 }
 
 void mark_departed(agent& self) {
@@ -309,7 +310,11 @@
         self.next_identity_poll_at = {};
     } else if (heartbeat.sequence > self.last_heartbeat.sequence) {
         const bool changed = heartbeat.draining != self.last_heartbeat.draining;
+        const bool turns_cold = heartbeat.cold_left > duration{0} &&
+                                self.cold_until <= self.run.now();
         apply_heartbeat(self, heartbeat);
+        if (turns_cold && !changed)
+            send_report(self);
         if (changed) {
             self.run.journal.event(
                 "server_draining",
@@ -366,6 +371,8 @@
             self.last_heartbeat.remaining > duration{0})
             server->set_remaining_ms(std::max<std::int64_t>(
                 1, (self.earliest_shutdown_at - self.run.now()).count()));
+        server->set_cold_left_ms(std::max<std::int64_t>(
+            0, (self.cold_until - self.run.now()).count()));
         report.set_lists_as_of_ms(self.run_list_clock_ms);
         for (const auto& running : self.running)
             *report.add_running() = running;
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -66,6 +66,12 @@
 
 /// Whether a server on probation has got its one task since its exclusion. The
 /// end of that task shows whether the server is healthy.
+/// Whether a server is still slow after its start. Such a server is used like
+/// one that turned out to be slow.
+bool is_cold(const server& server, time_point now) {
+    return now < server.last_report_at + duration{server.state.cold_left_ms()};
+}
+
 bool has_probe_task(const server& server) {
     return server.health.on_probation &&
            std::ranges::any_of(server.assigned, [&](const auto& assigned) {
@@ -97,7 +103,8 @@
         candidate.capacity = from_record(server.state.capacity());
         candidate.free = candidate.capacity;
         candidate.free -= server.usage.in_use;
-        candidate.health_score = is_degraded(server.health, now) ? 0.0 : 1.0;
+        candidate.health_score =
+            is_degraded(server.health, now) || is_cold(server, now) ? 0.0 : 1.0;
         candidate.recently_healthy = is_recently_healthy(server.health, now);
         candidate.last_healthy_at = server.health.last_healthy_at;
         candidate.on_probation = server.health.on_probation;
--- a/tests/fleet/adapter_test.cpp
+++ b/tests/fleet/adapter_test.cpp
@@ -83,12 +83,13 @@
 TEST(heartbeat, is_decoded_with_its_rack_and_incarnation) {
     const auto decoded = adapter::decode_heartbeat("i-1", R"({"service":"s",
         "address":"10.0.0.1:80","state":"draining","remaining_ms":1800,
-        "seq":9,"born":77,
+        "cold_left_ms":900,"seq":9,"born":77,
         "labels":["a","r1-3"],
         "capacity":{"cpu":16000,"mem_mb":32768,"gpu":8}})");
     const auto& heartbeat = std::get<fleet::server_heartbeat>(decoded);
     EXPECT_EQ(heartbeat.rack, "r1-3");
     EXPECT_EQ(heartbeat.started_unix_ms, 77);
+    EXPECT_EQ(heartbeat.cold_left, duration{900});
     EXPECT_TRUE(heartbeat.draining);
     EXPECT_EQ(heartbeat.remaining, duration{1800});
     EXPECT_EQ(heartbeat.capacity, (fleet::resources{16'000, 32'768, 8}));
