Start nothing in failure domains out of service

The owner excludes servers of such a domain and drops reservations there. It places nothing before its view of the requests has reached the revision of its epoch, nor with a view that the store has not confirmed for 2 s. Agents hear of requests from every entry they are linked to, and refuse starts that they have not sent yet, so that an order from before the request does no harm. Running work is left alone.

Ruled out: to stop running work, which loses it and is not asked for; to tell agents through the owner alone, which may be cut off itself; a switch in the scheduling policy, since the rule of operators is no matter of policy. The setting evacuation_bound_ms switches it on, where the platform has that bound.

--- a/modules/fleet/include/celerylift/fleet/agent.hpp
+++ b/modules/fleet/include/celerylift/fleet/agent.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celerylift/fleet/backend_server.hpp>
+#include <celerylift/fleet/domain_evacuation.hpp>
 #include <celerylift/fleet/runtime.hpp>
 
 #include <fleet.pb.h>
@@ -66,9 +67,9 @@
     /// The server runs tasks at least until then. Valid while it drains and
     /// reports a remaining time.
     time_point earliest_shutdown_at{};
-    std::string incarnation{};
     /// Until then the server is slow after its start.
     time_point cold_until{};
+    std::string incarnation{};
     bool departed = false;
     /// When the agent last took the server for departed. The owner gives up the
     /// server's runs, so orders that answer an earlier report count no more.
@@ -89,6 +90,10 @@
     bool identity_poll_open = false;
     time_point next_identity_poll_at{};
 
+    /// Whether the failure domain is out of service, by the latest revision
+    /// that any entry has reported.
+    domain_evacuations evacuations{};
+
     std::int64_t epoch = 0; // Of the owner that the agent follows.
     time_point granted_until{};
     /// The owner has stored the ends of runs up to this number.
@@ -144,6 +149,10 @@
 /// Handles orders of the owner; those of an earlier epoch are ignored.
 void on_orders(agent& self, const OwnerOrders& orders);
 
+/// Handles an entry's view of the failure domains out of service. While the
+/// agent's own is, no start is sent to the server.
+void on_evacuations(agent& self, const domain_evacuations& reported);
+
 /// Sends a report at once, for instance to a new owner.
 void report_now(agent& self);
 
--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celerylift/fleet/config.hpp>
+#include <celerylift/fleet/evacuation_follower.hpp>
 #include <celerylift/fleet/growing_timeout.hpp>
 #include <celerylift/fleet/job_api.hpp>
 #include <celerylift/fleet/leader_preference.hpp>
@@ -30,6 +31,9 @@
     scheduling_policy policy{};
     /// What large submissions on record may take together, in bytes.
     std::size_t max_large_bytes = 10UL * 1024 * 1024;
+    /// Prefix of the operators' requests to take failure domains out of
+    /// service. Empty: there are none.
+    std::string evacuation_prefix{};
 };
 
 /// An owner that has not read all jobs within this time leaves the cell to an
@@ -76,6 +80,8 @@
     void abandon_late_takeover();
     std::optional<duration> own_claim_delay() const;
     void read_config();
+    void handle_evacuations();
+    void log_unknown_domains();
     void tick();
     void notify_entries(const std::vector<store_item>& items);
     void handle_notice(const Notice& notice);
@@ -96,6 +102,12 @@
     watch_cache cell_cache_;
     watch_cache job_cache_;
     watch_cache config_cache_;
+    /// Nothing where such requests are not followed.
+    std::optional<evacuation_follower> evacuations_;
+    /// The domains out of service that the agents were last told.
+    std::set<std::string, std::less<>> announced_domains_;
+    /// Those that this entry has compared with the servers of the cell.
+    std::set<std::string, std::less<>> compared_domains_;
     entry_records entries_;
     std::uint64_t entries_version_ = 0; // Equal for equal lists.
     time_point entries_changed_at_{};
--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celerylift/fleet/config.hpp>
+#include <celerylift/fleet/domain_evacuation.hpp>
 #include <celerylift/fleet/growing_timeout.hpp>
 #include <celerylift/fleet/job_index.hpp>
 #include <celerylift/fleet/jobs.hpp>
@@ -141,6 +142,10 @@
     std::map<std::string, job> jobs{};
     std::map<std::string, server> servers{};
     std::vector<reservation> reservations{};
+    /// The failure domains out of service. Kept while this process does not own
+    /// the cell.
+    evacuation_view evacuations{};
+    bool placement_suspended = false; // Because that view is not fresh.
     std::map<std::string, run_time_estimate> run_time_estimates{}; // By queue.
     std::set<std::string> agents_to_update{};
     /// Jobs that may have tasks to place, and jobs whose record must be
@@ -165,6 +170,9 @@
 
 void on_config(owner& self, std::shared_ptr<const fleet_config> config);
 
+/// Handles a new or confirmed view of the failure domains out of service.
+void on_evacuations(owner& self, const evacuation_view& view);
+
 /// Handles a job that was submitted or cancelled.
 void on_job_changed(owner& self, const stored_job& stored);
 
--- a/modules/fleet/src/agent_node.cpp
+++ b/modules/fleet/src/agent_node.cpp
@@ -172,6 +172,9 @@
 }
 
 void agent_node::handle_welcome(const Welcome& welcome) {
+    on_evacuations(agent_, {welcome.evacuations_as_of(),
+                            {welcome.evacuated_domains().begin(),
+                             welcome.evacuated_domains().end()}});
     const bool has_new_owner =
         welcome.epoch() > owner_epoch_ && !welcome.owner_address().empty();
     if (has_new_owner) {
--- a/modules/fleet/src/agent_orders.cpp
+++ b/modules/fleet/src/agent_orders.cpp
@@ -352,10 +352,30 @@
     return true;
 }
 
+bool refuses_starts(const agent& self) {
+    return is_out_of_service(self.evacuations, self.failure_domain) &&
+           !is_mutant("start-out-of-service");
+}
+
+/// The run is fenced although no start was sent: a previous incarnation of this
+/// agent may have sent one.
+void refuse_start(agent& self, const run_key& key, run_order& order) {
+    constexpr auto reason = "the failure domain is out of service";
+    self.run.journal.event("start_refused", {{"task", key.task},
+                                             {"run", key.run},
+                                             {"domain", self.failure_domain},
+                                             {"as_of", self.evacuations.as_of},
+                                             {"reason", reason}});
+    self.run.metrics.count("starts_refused_out_of_service_total");
+    fence(self, order, reason);
+}
+
 void advance_queued(agent& self, const run_key& key, run_order& order,
                     order_budget& budget) {
     const auto now = self.run.now();
-    if (budget.may_start && budget.calls <= 0) {
+    if (refuses_starts(self)) {
+        refuse_start(self, key, order);
+    } else if (budget.may_start && budget.calls <= 0) {
         order.phase_since = now; // It waits for a call, not for capacity.
     } else if (budget.may_start && take_capacity(self, order, budget)) {
         send_start(self, key, order);
@@ -394,7 +414,35 @@
     }
 }
 
+void on_evacuations(agent& self, const domain_evacuations& reported) {
+    const auto before = self.evacuations;
+    self.evacuations =
+        newest_of(before, restricted_to(reported, self.failure_domain));
+    if (before.domains == self.evacuations.domains)
+        return;
+    const bool is_out =
+        is_out_of_service(self.evacuations, self.failure_domain);
+    self.run.journal.event(
+        is_out ? "domain_out_of_service" : "domain_back_in_service",
+        {{"domain", self.failure_domain}, {"as_of", self.evacuations.as_of}});
+}
+
+namespace {
+
+/// The view of the agent's own domain that the orders hold.
+domain_evacuations evacuations_in(const OwnerOrders& orders,
+                                  const std::string& domain) {
+    domain_evacuations state{orders.evacuations_as_of(), {}};
+    if (orders.is_evacuated())
+        state.domains.insert(domain);
+    return state;
+}
+
+} // namespace
+
 void on_orders(agent& self, const OwnerOrders& orders) {
+    // True whichever owner reports it.
+    on_evacuations(self, evacuations_in(orders, self.failure_domain));
     if (orders.epoch() < self.epoch)
         return;
     if (orders.epoch() > self.epoch)
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -37,6 +37,10 @@
 /// take over may be unable to reach the store.
 constexpr duration handover_retry_period{20'000};
 
+/// After a takeover an owner knows the failure domains of all servers once this
+/// has passed: heartbeats are up to 1.5 s apart.
+constexpr duration server_report_time{2500};
+
 /// A version that is equal in all entries that have the same list.
 std::uint64_t version_of(const entry_records& entries) {
     std::string text;
@@ -62,6 +66,8 @@
                   {[this](std::int64_t epoch) {
                        gained_epoch_ = epoch;
                        gained_at_ = run_.now();
+                       if (evacuations_)
+                           evacuations_->read_now();
                        try_activate();
                    },
                    [this] {
@@ -103,6 +109,9 @@
                         handle_config_change(change);
                     }) {
     std::erase(settings_.seed_entries, settings_.self.address());
+    if (!settings_.evacuation_prefix.empty())
+        evacuations_.emplace(run, records_, settings_.evacuation_prefix,
+                             [this] { handle_evacuations(); });
 }
 
 bool entry_node::is_seed_entry(const std::string& address) const {
@@ -118,6 +127,8 @@
     cell_cache_.start();
     job_cache_.start();
     config_cache_.start();
+    if (evacuations_)
+        evacuations_->start();
     leadership_.start();
     run_.timers.every(run_.now(), owner_tick_period,
                       [this](time_point) { tick(); });
@@ -137,6 +148,9 @@
     on_tick(owner_);
     try_activate();
     abandon_late_takeover();
+    if (evacuations_ && evacuations_->view().state.as_of < gained_epoch_)
+        evacuations_->read_now();
+    log_unknown_domains();
     std::erase_if(agents_, [this](const auto& a) {
         return run_.now() > a.second.last_message_at + agent_retention;
     });
@@ -284,6 +298,36 @@
                   });
 }
 
+void entry_node::handle_evacuations() {
+    const auto& view = evacuations_->view();
+    on_evacuations(owner_, view);
+    if (announced_domains_ == view.state.domains)
+        return;
+    announced_domains_ = view.state.domains;
+    std::erase_if(compared_domains_, [&](const std::string& domain) {
+        return !is_out_of_service(view.state, domain);
+    });
+    send_welcome_to_all();
+}
+
+/// Names requests for domains that have no server in this cell. They are
+/// respected nevertheless, since servers may appear there.
+void entry_node::log_unknown_domains() {
+    if (!evacuations_ || owner_.epoch == 0 ||
+        run_.now() < owner_.active_since + server_report_time)
+        return;
+    for (const auto& domain : evacuations_->view().state.domains) {
+        if (!compared_domains_.insert(domain).second ||
+            std::ranges::any_of(owner_.servers, [&](const auto& server) {
+                return server.second.failure_domain == domain;
+            }))
+            continue;
+        run_.journal.event("evacuation_request_ignored",
+                           {{"key", settings_.evacuation_prefix + domain},
+                            {"why", "no server is in this failure domain"}});
+    }
+}
+
 void entry_node::on_message(const std::string& from,
                             const FleetEnvelope& envelope) {
     if (envelope.has_notice())
@@ -363,6 +407,12 @@
     welcome->set_owner_address(owner_record_.address());
     welcome->set_epoch(owner_revision_);
     welcome->set_entries_version(entries_version_);
+    if (evacuations_) {
+        const auto& state = evacuations_->view().state;
+        welcome->set_evacuations_as_of(state.as_of);
+        for (const auto& domain : state.domains)
+            welcome->add_evacuated_domains(domain);
+    }
     if (agents_[agent].entries_version != entries_version_)
         for (const auto& [name, record] : entries_)
             *welcome->add_entries() = record;
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -212,6 +212,7 @@
     self.jobs.clear();
     self.reservations.clear();
     self.agents_to_update.clear();
+    self.placement_suspended = false;
     self.waiting_jobs.clear();
     self.unwritten_jobs.clear();
 }
@@ -262,6 +263,16 @@
     process_changes(self);
 }
 
+void on_evacuations(owner& self, const evacuation_view& view) {
+    const bool changed = self.evacuations.state.domains != view.state.domains;
+    self.evacuations = view;
+    if (changed)
+        for (const auto& [agent, server] : self.servers)
+            self.agents_to_update.insert(agent);
+    if (changed || self.placement_suspended)
+        process_changes(self);
+}
+
 void on_report(owner& self, const std::string& agent,
                const AgentReport& report) {
     if (self.epoch == 0 || report.followed_epoch() > self.epoch)
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -1,5 +1,7 @@
 #include "owner_internal.hpp"
 
+#include <celerylift/mutant.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -64,14 +66,14 @@
            now <= server.last_report_at + max_report_age;
 }
 
-/// Whether a server on probation has got its one task since its exclusion. The
-/// end of that task shows whether the server is healthy.
 /// Whether a server is still slow after its start. Such a server is used like
 /// one that turned out to be slow.
 bool is_cold(const server& server, time_point now) {
     return now < server.last_report_at + duration{server.state.cold_left_ms()};
 }
 
+/// Whether a server on probation has got its one task since its exclusion. The
+/// end of that task shows whether the server is healthy.
 bool has_probe_task(const server& server) {
     return server.health.on_probation &&
            std::ranges::any_of(server.assigned, [&](const auto& assigned) {
@@ -82,13 +84,18 @@
 
 } // namespace
 
+bool is_out_of_service(const owner& self, const server& server) {
+    return is_out_of_service(self.evacuations.state, server.failure_domain) &&
+           !is_mutant("place-out-of-service");
+}
+
 schedule_pass begin_pass(owner& self) {
     schedule_pass pass;
     std::unordered_map<std::string_view, std::size_t> racks;
     const auto now = self.run.now();
     for (auto& [agent, server] : self.servers) {
         if (!is_usable(server, now) || is_excluded(server.health, now) ||
-            has_probe_task(server))
+            has_probe_task(server) || is_out_of_service(self, server))
             continue;
         refresh_usage(self, server);
         if (!server.usage.all_runs_known)
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -183,6 +183,9 @@
     int reservation_plans_left = 8;
 };
 
+/// Whether the operators have taken the server's failure domain out of service.
+bool is_out_of_service(const owner& self, const server& server);
+
 /// Gathers the servers that can be given work, with their free capacity.
 schedule_pass begin_pass(owner& self);
 
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -96,14 +96,43 @@
            (is_missing_servers(self) || is_fencing_urgent_runs(self));
 }
 
-void remove_expired_reservations(owner& self) {
+bool has_server_out_of_service(const owner& self,
+                               const reservation& reservation) {
+    return std::ranges::any_of(reservation.agents,
+                               [&](const std::string& agent) {
+                                   const auto it = self.servers.find(agent);
+                                   return it != self.servers.end() &&
+                                          is_out_of_service(self, it->second);
+                               });
+}
+
+void remove_void_reservations(owner& self) {
     std::erase_if(self.reservations, [&](const reservation& reservation) {
         const auto it = self.jobs.find(reservation.job);
         return self.run.now() > reservation.expires || it == self.jobs.end() ||
-               is_final(it->second.state);
+               is_final(it->second.state) ||
+               has_server_out_of_service(self, reservation);
     });
 }
 
+/// Whether this owner knows well enough which failure domains are out of
+/// service to place work.
+bool knows_evacuations(owner& self) {
+    const auto& view = self.evacuations;
+    const bool fresh = is_fresh(view, self.epoch, self.run.now());
+    if (fresh == !self.placement_suspended)
+        return fresh;
+    self.placement_suspended = !fresh;
+    self.run.journal.event(
+        fresh ? "placement_resumed" : "placement_suspended",
+        {{"epoch", self.epoch},
+         {"evacuations_as_of", view.state.as_of},
+         {"confirmed_ms_ago", (self.run.now() - view.confirmed_at).count()}});
+    if (!fresh)
+        self.run.metrics.count("placement_suspensions_total");
+    return fresh;
+}
+
 } // namespace
 
 duration expected_run_time(const owner& self, const job& job, int step) {
@@ -130,7 +159,9 @@
     if (reports_expected &&
         self.run.now() < self.active_since + max_settling_time)
         return;
-    remove_expired_reservations(self);
+    if (!knows_evacuations(self))
+        return;
+    remove_void_reservations(self);
     const auto units = waiting_units(self);
     if (units.empty())
         return;
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -246,6 +246,11 @@
     orders.set_noted_end(server.acknowledged_up_to);
     orders.mutable_recorded_crashes()->Assign(server.recorded_crashes.begin(),
                                               server.recorded_crashes.end());
+    if (self.evacuations.is_followed) {
+        orders.set_evacuations_as_of(self.evacuations.state.as_of);
+        orders.set_is_evacuated(
+            is_out_of_service(self.evacuations.state, server.failure_domain));
+    }
     if (server.is_named && self.is_valid()) {
         orders.set_answered_sent_at_ms(server.answered_sent_at_ms);
         orders.set_grant_ms(grant_duration.count());
--- a/modules/host/include/celerylift/host/fleet_settings.hpp
+++ b/modules/host/include/celerylift/host/fleet_settings.hpp
@@ -28,6 +28,9 @@
     /// entry.
     std::vector<base::address> entries;
     fleet::scheduling_policy policy; // Everything is on by default.
+    /// Within this time after the operators' request, no task starts in a
+    /// failure domain any more. 0: there are no such requests.
+    duration evacuation_bound{0};
 
     bool operator==(const fleet_entry_settings&) const = default;
 };
--- a/modules/host/src/fleet_entry.cpp
+++ b/modules/host/src/fleet_entry.cpp
@@ -37,6 +37,8 @@
     for (const auto& entry : settings.entries)
         out.seed_entries.push_back(to_string(entry));
     out.policy = settings.policy;
+    if (settings.evacuation_bound > duration{0})
+        out.evacuation_prefix = adapter::evacuation_prefix;
     out.max_large_bytes = settings.clients.max_bytes / 4;
     return out;
 }
--- a/modules/host/src/fleet_settings.cpp
+++ b/modules/host/src/fleet_settings.cpp
@@ -14,6 +14,8 @@
 constexpr std::int64_t max_memory_mb = 1 << 20;
 constexpr std::int64_t max_descriptors = 1 << 20;
 
+constexpr std::int64_t max_evacuation_bound_ms = 86'400'000; // A day.
+
 error settings_error(const base::settings_reader& reader) {
     return {error_kind::invalid_argument, reader.first_error(),
             run_state::not_run, duration{0}};
@@ -94,6 +96,9 @@
         settings.policy = read_policy(policy);
         reader.merge_error(policy);
     }
+    if (reader.has("evacuation_bound_ms"))
+        settings.evacuation_bound = duration{
+            reader.number("evacuation_bound_ms", 0, max_evacuation_bound_ms)};
     settings.entries = read_entries(reader, settings.link.port);
     reader.check_unknown_keys();
     if (!reader.first_error().empty())
--- a/tests/fleet/fleet_mutants_test.cpp
+++ b/tests/fleet/fleet_mutants_test.cpp
@@ -50,4 +50,20 @@
                              return name;
                          });
 
+// The owner and the agents check the failure domains independently of each
+// other, so the faults above show neither check alone.
+TEST(evacuation_mutant, of_the_owner_is_detected) {
+    EXPECT_EQ(assign_out_of_service(), 0);
+    active_mutant = "place-out-of-service";
+    EXPECT_GT(assign_out_of_service(), 0);
+    active_mutant = {};
+}
+
+TEST(evacuation_mutant, of_the_agents_is_detected) {
+    EXPECT_EQ(start_delayed_orders(), 0);
+    active_mutant = "start-out-of-service";
+    EXPECT_GT(start_delayed_orders(), 0);
+    active_mutant = {};
+}
+
 } // namespace celerylift::test
--- a/tests/fleet/fleet_scenario.cpp
+++ b/tests/fleet/fleet_scenario.cpp
@@ -10,6 +10,7 @@
 
 constexpr fleet::resources small{8'000, 16'000, 1};
 constexpr fleet::resources large{52'000, 75'000, 4};
+constexpr fleet::resources whole_server{64'000, 100'000, 8};
 constexpr int entry_count = 3;
 constexpr int server_count = 6;
 
@@ -200,12 +201,63 @@
              [](virtual_fleet&) {}}};
 }
 
+std::vector<fault> operator_requests() {
+    return {
+        {"domain_out_of_service",
+         [](virtual_fleet& fleet) { fleet.take_out_of_service("za-north-a"); },
+         [](virtual_fleet& fleet) { fleet.return_to_service("za-north-a"); },
+         duration{7000}}};
+}
+
 } // namespace
 
+namespace {
+
+bool has_text(const std::string& line, const std::string& text) {
+    return line.find(text) != std::string::npos;
+}
+
+} // namespace
+
+int count_events(const virtual_fleet& fleet, std::size_t first_line,
+                 const std::string& event, const std::string& domain) {
+    int count = 0;
+    for (std::size_t i = first_line; i < fleet.sim.log.size(); ++i)
+        for (int n = 1; n <= server_count; ++n)
+            if (const auto& line = fleet.sim.log[i];
+                fleet.failure_domain_of(n) == domain &&
+                has_text(line, fmt::format("\"agent-{}\"", n)) &&
+                has_text(line, fmt::format("\"event\":\"{}\"", event)))
+                ++count;
+    return count;
+}
+
+int assign_out_of_service() {
+    virtual_fleet fleet{{entry_count, server_count, server_count / 2, 2}};
+    fleet.submit(make_job(job_id(1), "ms=600", 40, whole_server));
+    fleet.take_out_of_service("za-north-b");
+    fleet.sim.run_for(duration{1000});
+    const auto first_line = fleet.sim.log.size();
+    fleet.sim.run_for(duration{3000});
+    return count_events(fleet, first_line, "task_assigned", "za-north-b");
+}
+
+int start_delayed_orders() {
+    virtual_fleet fleet{{entry_count, server_count, server_count / 2, 2}};
+    for (int n = server_count / 2 + 1; n <= server_count; ++n)
+        fleet.set_link_delay(fleet.owner_entry(), n, duration{2500});
+    fleet.submit(make_job(job_id(1), "ms=600", server_count, whole_server));
+    fleet.sim.run_for(duration{100});
+    fleet.take_out_of_service("za-north-b");
+    fleet.sim.run_for(duration{5000});
+    return count_events(fleet, 0, "start_sent", "za-north-b");
+}
+
 std::vector<fault> all_faults() {
     std::vector<fault> all;
     for (const auto& group :
-         {process_faults(), network_faults(), server_faults(), store_faults()})
+         {process_faults(), network_faults(), server_faults(), store_faults(),
+          operator_requests()})
         all.insert(all.end(), group.begin(), group.end());
     return all;
 }
--- a/tests/fleet/fleet_scenario.hpp
+++ b/tests/fleet/fleet_scenario.hpp
@@ -42,6 +42,19 @@
     bool is_over() const;
 };
 
+/// How many log lines from one on have this event and an agent of a failure
+/// domain, as the process or the agent concerned.
+int count_events(const virtual_fleet& fleet, std::size_t first_line,
+                 const std::string& event, const std::string& domain);
+
+/// Takes a failure domain out of service while a queue waits. Returns how many
+/// tasks the owner assigns there from a second later on.
+int assign_out_of_service();
+
+/// Takes a failure domain out of service between the sending of orders to its
+/// agents and their arrival. Returns how many of them are carried out.
+int start_delayed_orders();
+
 void restart_entries(virtual_fleet& fleet);
 void restart_agents(virtual_fleet& fleet);
 
--- a/tests/fleet/fleet_settings_test.cpp
+++ b/tests/fleet/fleet_settings_test.cpp
@@ -73,6 +73,19 @@
     EXPECT_NE(text.find("on or off"), std::string::npos) << text;
 }
 
+// Requests must not be followed on a platform that has none.
+TEST(evacuation_settings, are_off_unless_the_platform_has_a_bound) {
+    const auto bound = [](const std::string& lines) {
+        const auto settings = read_with(lines);
+        EXPECT_EQ(error_text(settings), "");
+        return std::get<host::fleet_entry_settings>(settings).evacuation_bound;
+    };
+    EXPECT_EQ(bound(""), duration{0});
+    EXPECT_EQ(bound("evacuation_bound_ms: 5000\n"), duration{5000});
+    const auto text = error_text(read_with("evacuation_bound_ms: soon\n"));
+    EXPECT_NE(text.find("evacuation_bound_ms"), std::string::npos) << text;
+}
+
 // The limit on clients was the same on all machines.
 TEST(client_settings, follow_the_memory_and_the_descriptors_of_the_machine) {
     const auto limits = [](const std::string& lines) {
--- a/tests/fleet/virtual_fleet.cpp
+++ b/tests/fleet/virtual_fleet.cpp
@@ -13,6 +13,8 @@
 constexpr duration heartbeat_period{500};
 constexpr duration call_timeout{3000};
 
+constexpr std::string_view evacuation_prefix = "op/evacuate/";
+
 constexpr std::string_view without_cwm_key = " without the key of cwm-sump";
 constexpr std::string_view without_normal_queue = " without the normal queue";
 
@@ -48,6 +50,8 @@
         servers_[n] = std::make_unique<virtual_server>(
             sim, history, fmt::format("server-{}", n),
             fmt::format("rack-{}", (n - 1) / size_.servers_per_rack));
+    for (auto& [n, server] : servers_)
+        server->failure_domain = failure_domain_of(n);
     for (int n = 1; n <= size_.entries; ++n)
         start_entry(n);
     for (int n = 1; n <= size_.servers; ++n) {
@@ -92,7 +96,10 @@
             self,
             "op/config",
             &decode_config,
-            {address_of(1), address_of(2), address_of(3)}},
+            {address_of(1), address_of(2), address_of(3)},
+            {},
+            10UL * 1024 * 1024,
+            size_.follows_evacuations ? std::string(evacuation_prefix) : ""},
         [this, number](const std::string& agent,
                        const fleet::FleetEnvelope& envelope) {
             send_to_agent(number, agent, envelope);
@@ -128,7 +135,8 @@
     agent->client = servers_.at(number)->client(agent->process->liveness());
     auto* self = agent.get();
     agent->node = std::make_unique<fleet::agent_node>(
-        agent->process->runtime, *agent->client, name, "za-north-a",
+        agent->process->runtime, *agent->client, name,
+        failure_domain_of(number),
         fleet::peer_links{
             [this, self](const std::string& address) {
                 self->connected[address] = sim.now + connect_delay;
@@ -196,6 +204,26 @@
         cut_links_.insert({entry, agent});
 }
 
+void virtual_fleet::set_link_delay(int entry, int agent, duration delay) {
+    link_delays_[{entry, agent}] = delay;
+}
+
+void virtual_fleet::take_out_of_service(const std::string& domain) {
+    store.put(fmt::format("{}{}", evacuation_prefix, domain), "");
+    history.out_of_service_since[domain] = sim.now;
+}
+
+void virtual_fleet::return_to_service(const std::string& domain) {
+    store.remove(fmt::format("{}{}", evacuation_prefix, domain));
+    history.out_of_service_since.erase(domain);
+}
+
+std::string virtual_fleet::failure_domain_of(int server) const {
+    const int rack = (server - 1) / size_.servers_per_rack;
+    return fmt::format("za-north-{}",
+                       static_cast<char>('a' + rack % size_.failure_domains));
+}
+
 bool virtual_fleet::can_deliver(const fleet::FleetEnvelope& envelope) {
     const auto bytes = envelope.ByteSizeLong();
     longest_message = std::max(longest_message, bytes);
@@ -240,7 +268,10 @@
     }
     if (!agents_.contains(number) || !can_deliver(envelope))
         return;
-    sim.after(link_delay, agents_.at(number)->process->liveness(),
+    const auto delay = link_delays_.contains({entry, number})
+                           ? link_delays_.at({entry, number})
+                           : link_delay;
+    sim.after(delay, agents_.at(number)->process->liveness(),
               [this, entry, number, envelope] {
                   if (is_link_up(entry, number) &&
                       agents_.at(number)->connected.contains(address_of(entry)))
--- a/tests/fleet/virtual_fleet.hpp
+++ b/tests/fleet/virtual_fleet.hpp
@@ -24,6 +24,9 @@
         int entries;
         int servers;
         int servers_per_rack;
+        /// Racks are spread over so many failure domains.
+        int failure_domains = 1;
+        bool follows_evacuations = true;
     };
 
     virtual_fleet() : virtual_fleet(fleet_size{3, 6, 3}) {}
@@ -54,6 +57,14 @@
     /// Cuts or restores the link between an entry and an agent.
     void set_link(int entry, int agent, bool up);
 
+    /// Delays the messages of an entry to an agent.
+    void set_link_delay(int entry, int agent, duration delay);
+
+    /// Takes a failure domain out of service, as operators do.
+    void take_out_of_service(const std::string& domain);
+    void return_to_service(const std::string& domain);
+    std::string failure_domain_of(int server) const;
+
     int owner_entry() const; // 0 if no entry is the owner.
     bool is_settled() const; // An owner has a report from every agent.
 
@@ -133,6 +144,7 @@
     std::map<int, std::unique_ptr<entry_process>> entries_;
     std::map<int, std::unique_ptr<agent_process>> agents_;
     std::set<std::pair<int, int>> cut_links_;
+    std::map<std::pair<int, int>, duration> link_delays_;
     struct submission {
         fleet::Submission job;
         std::string key;
--- a/tests/fleet/virtual_server.cpp
+++ b/tests/fleet/virtual_server.cpp
@@ -22,6 +22,9 @@
 constexpr duration capacity_notice{3500};
 /// A task is not started this often after as many servers have crashed under
 /// it.
+/// Of the operators' requests to take a failure domain out of service.
+constexpr duration evacuation_bound{5000};
+
 constexpr int max_crashes = 3;
 constexpr int percent = 100;
 constexpr std::string_view crash_prefix = "crash=";
@@ -173,7 +176,8 @@
     heartbeat.sequence = ++sequence_;
     heartbeat.service = "order-desk";
     heartbeat.rack = rack_;
-    heartbeat.labels = {"a", rack_};
+    heartbeat.labels = {kind, rack_};
+    heartbeat.cold_left = cold_left;
     heartbeat.capacity = capacity_;
     heartbeat.draining = draining;
     heartbeat.remaining = remaining;
@@ -288,6 +292,11 @@
         if (earlier.acknowledged && !earlier.expired)
             history_.violations.push_back(
                 call.task + " was started after its end was acknowledged");
+    const auto out = history_.out_of_service_since.find(failure_domain);
+    if (out != history_.out_of_service_since.end() &&
+        sim_.now > out->second + evacuation_bound)
+        history_.violations.push_back(
+            call.task + " was started in a failure domain out of service");
     const auto limit = history_.start_limits.find(call.task);
     if (limit != history_.start_limits.end() &&
         history_.starts_by_task[call.task] == limit->second)
--- a/tests/fleet/virtual_server.hpp
+++ b/tests/fleet/virtual_server.hpp
@@ -43,6 +43,8 @@
     std::map<std::string, std::vector<fleet::resources>> needs;
     /// Of servers that ran a task with a payload that crashes them.
     std::map<std::string, int> crashes_by_task;
+    /// When each failure domain was taken out of service.
+    std::map<std::string, time_point> out_of_service_since;
     /// By such a task, once three servers have crashed under it.
     std::map<std::string, int> start_limits;
 };
@@ -95,6 +97,9 @@
     duration restore_time{0}; // Until a run goes on from its checkpoint.
     /// A stopped run is listed, and holds its resources, for this long.
     duration stop_time{0};
+    std::string failure_domain;
+    std::string kind = "a"; // Its first label.
+    duration cold_left{0};  // Announced in heartbeats.
 
     std::size_t running_count() const { return runs_.size(); }
     std::int64_t highest_fencing_token() const { return fencing_token_; }
--- a/tests/fleet/virtual_store.cpp
+++ b/tests/fleet/virtual_store.cpp
@@ -163,7 +163,7 @@
             const auto now = store_.sim_.now;
             fleet::watch_reply reply;
             if (fault() == store_fault::unresponsive ||
-                fault() == store_fault::busy) {
+                fault() == store_fault::busy || store_.silence_watches) {
                 if (now >= timeout_at || fault() == store_fault::busy)
                     return done(reply);
                 return poll(prefix, after, wait_until, timeout_at, done);
--- a/tests/fleet/virtual_store.hpp
+++ b/tests/fleet/virtual_store.hpp
@@ -30,6 +30,8 @@
     store_fault fault = store_fault::none;
     std::map<std::string, store_fault> client_faults; // By client name.
     bool delay_watches = false;
+    /// Watches return nothing until they time out.
+    bool silence_watches = false;
     duration one_way_delay{2};
     duration page_time{0}; // How long a page of a range takes to arrive.
     /// How long changes of jobs take to arrive on a watch, by client name.
@@ -47,6 +49,8 @@
     /// Writes a key without a condition, as operators do.
     void put(const std::string& key, const std::string& value);
     std::optional<fleet::store_item> get(const std::string& key) const;
+    /// Removes a key, as operators do.
+    void remove(const std::string& key);
 
     /// Drops the history of changes. Watches from an earlier revision fail with
     /// `compacted`.
@@ -74,7 +78,6 @@
     };
     friend class virtual_store_client;
 
-    void remove(const std::string& key);
     void expire();
 
     simulation& sim_;
