--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -1,5 +1,7 @@
 #include "owner_internal.hpp"
 
+#include <celerylift/mutant.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -71,6 +73,12 @@
            now <= server.last_report_at + max_report_age;
 }
 
+/// Whether a server is still slow after its start. Such a server is used like
+/// one that turned out to be slow.
+bool is_cold(const server& server, time_point now) {
+    return now < server.last_report_at + duration{server.state.cold_left_ms()};
+}
+
 /// Whether a server on probation has got its one task since its exclusion. The
 /// end of that task shows whether the server is healthy.
 bool has_probe_task(const server& server) {
@@ -83,6 +91,11 @@
 
 } // namespace
 
+bool is_out_of_service(const owner& self, const server& server) {
+    return is_out_of_service(self.evacuations.state, server.failure_domain) &&
+           !is_mutant("place-out-of-service");
+}
+
 schedule_pass begin_pass(owner& self) {
     schedule_pass pass;
     pass.urgent_slowness_limit = urgent_slowness_limit(self);
@@ -90,7 +103,7 @@
     const auto now = self.run.now();
     for (auto& [agent, server] : self.servers) {
         if (!is_usable(server, now) || is_excluded(server.health, now) ||
-            has_probe_task(server))
+            has_probe_task(server) || is_out_of_service(self, server))
             continue;
         refresh_usage(self, server);
         if (!server.usage.all_runs_known)
@@ -105,7 +118,8 @@
         candidate.capacity = from_record(server.state.capacity());
         candidate.free = candidate.capacity;
         candidate.free -= server.usage.in_use;
-        candidate.health_score = is_degraded(server.health, now) ? 0.0 : 1.0;
+        candidate.health_score =
+            is_degraded(server.health, now) || is_cold(server, now) ? 0.0 : 1.0;
         candidate.recently_healthy = is_recently_healthy(server.health, now);
         candidate.last_healthy_at = server.health.last_healthy_at;
         candidate.on_probation = server.health.on_probation;
