--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -197,6 +197,8 @@
     task_name name;
     resources freed;
     double lost_core_seconds = 0;
+    /// The job can start again and still be in time.
+    bool is_affordable = false;
 };
 
 /// The capacity of the usable servers of a service, and how much is free.
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -77,6 +77,24 @@
             record(member);
 }
 
+/// How many times the rest of its work a job must have time for, so that it is
+/// still in time if it is stopped now: once to run again, and as long to wait.
+constexpr double affordable_time_factor = 2.0;
+
+/// Whether a job that loses the progress of its current step can still earn its
+/// payoff in full. Matters only where urgent work needs servers of a certain
+/// speed: the job keeps its objective, and the urgent one is in time.
+bool can_afford_stop(const owner& self, const job& job, const task& task) {
+    if (!self.speeds.is_uneven)
+        return false;
+    const auto occurrence = std::ranges::find(
+        job.occurrences, task.name.occurrence, &occurrence::number);
+    const auto factor = occurrence == job.occurrences.end()
+                            ? no_slowness_limit
+                            : slowness_limit_of(self, job, *occurrence);
+    return factor < no_slowness_limit && factor >= affordable_time_factor;
+}
+
 /// Preemption costs of gangs, by step. The members of a gang end together, so
 /// they share one cost.
 using gang_costs = std::map<const step_run*, double>;
@@ -110,7 +128,8 @@
                 pass.preemptible[i].push_back(
                     {name, need,
                      cached_preemption_cost(self, *assigned.job_ref, task,
-                                            cache)});
+                                            cache),
+                     can_afford_stop(self, *assigned.job_ref, task)});
         }
         std::ranges::sort(pass.preemptible[i], {},
                           &preemption_candidate::lost_core_seconds);
@@ -129,6 +148,8 @@
     std::vector<std::string> agents;
     std::vector<task_name> stops;
     double cost = 0;
+    /// The part of the cost that makes jobs late.
+    double late_cost = 0;
     int risk = 0; // Sum of the risk classes, by task.
 };
 
@@ -172,6 +193,8 @@
         for (std::size_t i = 0; i < best_need.first; ++i) {
             best->candidate.free += best->preemptible[i].freed;
             result.stops.push_back(best->preemptible[i].name);
+            if (!best->preemptible[i].is_affordable)
+                result.late_cost += best->preemptible[i].lost_core_seconds;
         }
         best->preemptible.erase(
             best->preemptible.begin(),
@@ -341,7 +364,10 @@
     const auto found = find_plan(self, pass, request, priority);
     if (!found)
         pass.failed_reclaims.push_back(request);
-    if (!found || (!guaranteed && found->cost > max_lost_core_seconds))
+    const auto counted_cost = [&] {
+        return request.within_limit_only ? found->late_cost : found->cost;
+    };
+    if (!found || (!guaranteed && counted_cost() > max_lost_core_seconds))
         return false;
     self.run.journal.event(
         "room_reclaimed",
