Share a full service by its scarcest resource

Work of one priority was placed in the order of its submission. One organisation that submitted a lot at once kept all others waiting until its last task had started, and a short task waited behind long ones that had minutes to spare.

Where work waits for room, units of one priority are now ranked: urgent work within its organisation's guarantee, work that has waited for 10 s (by submission), organisations that hold less than their equal share of the service by dominant share, then the least time until the latest start that still meets the objective. Payoff and priority come before, as they did. Units of an organisation that crosses its equal share within a pass are ranked again. Where the last pass has left nothing and the waiting work needs less than is free, all ranks are equal and the order is the former one.

Ruled out: ranks by the use before the pass only, with which one organisation gets all of the room that a pass has; a look at every server for whether the waiting work fits, which costs more than the rank. Free capacity in sum does not show that gangs or large tasks wait, so the work that the last pass has left counts too.

The organisations' use is cached by server, the tasks of a unit are counted once, and the latest start is computed with the payoff.

Tested: fair_share_test (11), owner_size_test (11) and fleet_test (66) pass.

--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -19,6 +19,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace celerylift::fleet {
@@ -57,6 +58,7 @@
     /// False while the server lists a run whose task is not on record.
     bool all_runs_known = false;
     resources in_use;
+    std::vector<std::pair<std::string, resources>> by_organisation;
     server_occupancy occupancy;
 };
 
@@ -142,6 +144,12 @@
     std::map<std::string, server> servers{};
     std::vector<reservation> reservations{};
     std::map<std::string, run_time_estimate> run_time_estimates{}; // By queue.
+    /// Services for which the last pass has left work waiting for room.
+    std::set<std::string> services_with_work_left{};
+    /// Dominant shares on display, by organisation.
+    std::map<std::string, double> shown_shares{};
+    /// The earliest times of further journal lines, by service.
+    std::map<std::string, time_point> next_share_events{};
     std::set<std::string> agents_to_update{};
     /// Jobs that may have tasks to place, and jobs whose record must be
     /// written.
--- a/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
+++ b/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
@@ -30,6 +30,9 @@
     bool move_from_slow_servers = true;
     /// Runs are moved away from servers that leave before the runs can end.
     bool evacuate_leaving_servers = true;
+    /// Where work waits for room, organisations that hold little of the
+    /// scarcest resource go first, then work with little time left.
+    bool share_by_scarcity = true;
 
     bool operator==(const scheduling_policy&) const = default;
 };
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -211,6 +211,8 @@
     self.servers.clear();
     self.jobs.clear();
     self.reservations.clear();
+    self.next_share_events.clear();
+    clear_shares(self);
     self.agents_to_update.clear();
     self.waiting_jobs.clear();
     self.unwritten_jobs.clear();
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -20,6 +20,17 @@
     occupancy.has_suspect = occupancy.has_suspect || closes;
 }
 
+void add_use(server_usage& usage, const job& job, const resources& need) {
+    const auto& name = job.submission.organisation();
+    usage.in_use += need;
+    for (auto& [organisation, in_use] : usage.by_organisation)
+        if (organisation == name) {
+            in_use += need;
+            return;
+        }
+    usage.by_organisation.emplace_back(name, need);
+}
+
 /// Adds the resources of runs that a server lists but that are not on record as
 /// assigned to it. Returns whether the task of each such run is known.
 bool add_unrecorded_runs(const owner& self, const server& server,
@@ -33,7 +44,8 @@
         const auto assigned = server.assigned.find(*name);
         if (assigned == server.assigned.end() ||
             assigned->second.task_ref->ended_in_gang) {
-            usage.in_use += need_of(step_of(it->second, *name));
+            const auto need = need_of(step_of(it->second, *name));
+            add_use(usage, it->second, need);
             add_occupant(usage.occupancy, name->job, false, {});
         }
     }
@@ -46,10 +58,12 @@
     server.usage.stale = false;
     self.run.metrics.count("rooms_refreshed_total");
     server.usage.in_use = {};
+    server.usage.by_organisation.clear();
     server.usage.occupancy = {};
     for (const auto& [name, assigned] : server.assigned)
         if (!assigned.task_ref->ended_in_gang) {
-            server.usage.in_use += need_of(step_of(*assigned.job_ref, name));
+            const auto& job = *assigned.job_ref;
+            add_use(server.usage, job, need_of(step_of(job, name)));
             add_occupant(server.usage.occupancy, name.job,
                          closes_server(self, *assigned.task_ref),
                          weak_suspect_of(*assigned.task_ref));
@@ -78,6 +92,9 @@
 
 schedule_pass begin_pass(owner& self) {
     schedule_pass pass;
+    pass.candidates.reserve(self.servers.size());
+    pass.servers.reserve(self.servers.size());
+    pass.index.reserve(self.servers.size());
     std::unordered_map<std::string_view, std::size_t> racks;
     const auto now = self.run.now();
     for (auto& [agent, server] : self.servers) {
@@ -110,6 +127,7 @@
         auto& service = pass.services[candidate.service];
         service.total += candidate.capacity;
         service.free += candidate.free;
+        ++service.servers;
         pass.index.emplace(agent, pass.candidates.size());
         pass.candidates.push_back(candidate);
         pass.servers.push_back(&server);
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <celerylift/fleet/fair_share.hpp>
 #include <celerylift/fleet/owner.hpp>
 #include <celerylift/fleet/run_lease.hpp>
 
 #include <compare>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -123,8 +125,15 @@
 /// outage or a burst, late work would otherwise occupy the capacity that work
 /// still in time needs, and make that late as well.
 enum class payoff { in_full, in_part, none };
-payoff payoff_of(const owner& self, const job& job,
-                 const occurrence& occurrence);
+
+struct prospect {
+    payoff expected = payoff::in_full;
+    /// The latest start, in Unix milliseconds, that still meets the objective.
+    /// Nothing for recurring and lasting work, which is never too late.
+    std::optional<std::int64_t> latest_start;
+};
+prospect prospect_of(const owner& self, const job& job,
+                     const occurrence& occurrence);
 
 /// The waiting tasks of one step. Members are in order of comparison: units
 /// that compare less are placed first.
@@ -132,10 +141,15 @@
     bool no_payoff = false; // Ends too late for any payoff.
     int priority = 0;
     bool late = false; // Ends too late for the full payoff.
+    unit_rank rank;
     std::int64_t submitted_unix_ms = 0;
     std::string job;
     std::size_t occurrence = 0;
     int step = 0;
+    // What follows depends on the above, and never decides the order.
+    const struct job* job_ref = nullptr;
+    std::int64_t waiting_tasks = 0;
+    std::optional<std::int64_t> latest_start;
 
     auto operator<=>(const waiting_unit&) const = default;
 };
@@ -159,6 +173,13 @@
 struct service_capacity {
     resources total;
     resources free;
+    std::int64_t servers = 0;
+};
+
+/// What the organisations that have work at a service hold of it.
+struct service_shares {
+    resources total;
+    std::map<std::string, resources> organisations; // In use by each.
 };
 
 /// One pass over the waiting work. Server state is gathered once per pass, so
@@ -169,6 +190,10 @@
     std::vector<server*> servers; // By candidate.
     std::unordered_map<std::string_view, std::size_t> index;
     std::unordered_map<std::string_view, service_capacity> services;
+    /// Of the services that lack room for all of the waiting work.
+    std::map<std::string, service_shares, std::less<>> shares;
+    std::int64_t started_unix_ms = 0;
+    std::int64_t tasks_placed = 0;
     std::vector<failed_request> failed_requests;
     std::vector<placement_request> failed_reclaims;
     /// By candidate: tasks that urgent work could preempt, cheapest first, and
@@ -186,10 +211,33 @@
 /// Gathers the servers that can be given work, with their free capacity.
 schedule_pass begin_pass(owner& self);
 
+/// At most one journal line on the order of a service in this time.
+inline constexpr duration demand_event_interval{10'000};
+
+/// Whether an event of which `next_at` tells the earliest time may be written.
+bool is_due(const owner& self, time_point& next_at);
+
+/// Ranks the units of services that lack room for all of them, and sorts all.
+void order_units(owner& self, schedule_pass& pass,
+                 std::vector<waiting_unit>& units);
+
+/// Places one of the units, and ranks the later ones again where that has
+/// changed what their organisation may have.
+void place_in_order(owner& self, schedule_pass& pass,
+                    std::vector<waiting_unit>& units, std::size_t index);
+
+/// Handles that no work waits.
+void clear_shares(owner& self);
+
 /// Assigns the tasks of a unit to servers. Where they do not fit, preempts
 /// other work or reserves capacity for them.
 void place_unit(owner& self, schedule_pass& pass, const waiting_unit& unit);
 
+/// Whether an organisation's urgent work stays within its guarantee if a job
+/// gets this many accelerators more.
+bool is_guaranteed(const owner& self, schedule_pass& pass, const job& job,
+                   std::int64_t accelerators);
+
 /// Preempts tasks of lower priority for a job within its organisation's
 /// guarantee. Returns whether capacity has been reserved. Outside a guarantee,
 /// only urgent work that can still meet its objective preempts.
--- a/modules/fleet/src/owner_payoff.cpp
+++ b/modules/fleet/src/owner_payoff.cpp
@@ -31,37 +31,45 @@
     return ends.empty() ? duration{0} : *std::ranges::max_element(ends);
 }
 
-/// Whether a job that is started now ends within this many objectives, counted
-/// from its submission.
-bool ends_within(const owner& self, const job& job,
-                 const occurrence& occurrence, const queue_config& queue,
-                 run_time_function time_of, int objectives) {
+/// The latest start, in Unix milliseconds, with which a job ends within this
+/// many objectives, counted from its submission.
+std::int64_t latest_start(const owner& self, const job& job,
+                          const occurrence& occurrence,
+                          const queue_config& queue, run_time_function time_of,
+                          int objectives) {
     const auto objective =
         std::chrono::duration_cast<duration>(
             critical_path_time(self, job, time_of, nullptr) * queue.stretch) +
         queue.allowance;
-    const duration age{self.run.unix_ms() - job.submission.submitted_unix_ms()};
-    return age + critical_path_time(self, job, time_of, &occurrence) <=
-           objective * objectives;
+    const auto left = critical_path_time(self, job, time_of, &occurrence);
+    return job.submission.submitted_unix_ms() +
+           (objective * objectives - left).count();
+}
+
+/// Whether work keeps its payoff however late it starts. Each occurrence of a
+/// recurring job counts from its due time. Lasting work has its payoff for as
+/// long as it runs.
+bool is_never_late(const job& job) {
+    return job.submission.occurrences() > 0 ||
+           std::ranges::any_of(job.submission.steps(), &Step::lasting);
 }
 
 } // namespace
 
-payoff payoff_of(const owner& self, const job& job,
-                 const occurrence& occurrence) {
+prospect prospect_of(const owner& self, const job& job,
+                     const occurrence& occurrence) {
     const auto* queue = queue_of(self, job);
-    // Each occurrence of a recurring job counts from its due time. Lasting work
-    // has its payoff for as long as it runs.
-    if (!self.policy.order_by_payoff || !queue ||
-        job.submission.occurrences() > 0 ||
-        std::ranges::any_of(job.submission.steps(), &Step::lasting))
-        return payoff::in_full;
-    if (ends_within(self, job, occurrence, *queue, declared_run_time, 1))
-        return payoff::in_full;
-    return ends_within(self, job, occurrence, *queue, max_expected_run_time,
-                       max_objectives_for_payoff)
-               ? payoff::in_part
-               : payoff::none;
+    if (!queue || is_never_late(job))
+        return {};
+    const auto in_time =
+        latest_start(self, job, occurrence, *queue, declared_run_time, 1);
+    const auto now = self.run.unix_ms();
+    if (!self.policy.order_by_payoff || now <= in_time)
+        return {payoff::in_full, in_time};
+    const auto in_part =
+        latest_start(self, job, occurrence, *queue, max_expected_run_time,
+                     max_objectives_for_payoff);
+    return {now <= in_part ? payoff::in_part : payoff::none, in_time};
 }
 
 } // namespace celerylift::fleet
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -127,7 +127,7 @@
     const auto it = pass.services.find(service);
     if (it == pass.services.end())
         return true;
-    const auto& [total, free] = it->second;
+    const auto& [total, free, servers] = it->second;
     return free.millicores * 2 > total.millicores ||
            free.accelerators * 2 > total.accelerators;
 }
@@ -257,6 +257,7 @@
 void assign_candidate(owner& self, schedule_pass& pass, job& job, task& task,
                       std::size_t index, int run) {
     auto& server = *pass.servers[index];
+    ++pass.tasks_placed;
     add_occupant(pass.candidates[index], job, task);
     pass.candidates[index].free -= need_of(step_of(job, task.name));
     if (pass.candidates[index].on_probation)
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -232,22 +232,6 @@
     return used;
 }
 
-/// Whether an organisation's urgent work, this request included, stays within
-/// its guarantee.
-bool is_guaranteed(const owner& self, schedule_pass& pass, const job& job,
-                   const placement_request& request) {
-    const auto& name = job.submission.organisation();
-    const auto* organisation = find_organisation(*self.config, name);
-    if (!organisation)
-        return false;
-    if (!pass.urgent_accelerators)
-        pass.urgent_accelerators = count_urgent_accelerators(self);
-    const auto it = pass.urgent_accelerators->find(name);
-    const auto used = it == pass.urgent_accelerators->end() ? 0 : it->second;
-    return used + request.each.accelerators * request.count <=
-           organisation->guaranteed_accelerators;
-}
-
 /// Whether this pass has found no plan for an earlier request that needs no
 /// more than this one.
 bool is_known_to_fail(const schedule_pass& pass,
@@ -277,15 +261,30 @@
 
 } // namespace
 
+bool is_guaranteed(const owner& self, schedule_pass& pass, const job& job,
+                   std::int64_t accelerators) {
+    const auto& name = job.submission.organisation();
+    const auto* organisation = find_organisation(*self.config, name);
+    if (!organisation)
+        return false;
+    if (!pass.urgent_accelerators)
+        pass.urgent_accelerators = count_urgent_accelerators(self);
+    const auto it = pass.urgent_accelerators->find(name);
+    const auto used = it == pass.urgent_accelerators->end() ? 0 : it->second;
+    return used + accelerators <= organisation->guaranteed_accelerators;
+}
+
 bool reclaim(owner& self, schedule_pass& pass, job& job,
              const occurrence& occurrence, int step,
              const placement_request& request) {
     const int priority = priority_of(self, job);
     if (priority != 0)
         return false;
-    const bool guaranteed = is_guaranteed(self, pass, job, request);
-    if (!guaranteed && (!self.policy.preempt_beyond_guarantee ||
-                        payoff_of(self, job, occurrence) != payoff::in_full))
+    const bool guaranteed = is_guaranteed(
+        self, pass, job, request.each.accelerators * request.count);
+    if (!guaranteed &&
+        (!self.policy.preempt_beyond_guarantee ||
+         prospect_of(self, job, occurrence).expected != payoff::in_full))
         return false;
     if (is_known_to_fail(pass, request))
         return false;
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -17,35 +17,46 @@
 constexpr std::size_t servers_per_missing_server = 8;
 constexpr duration max_batch_settling_time{2500};
 
-/// Whether a step has tasks that can be placed now. A gang is placed only as a
-/// whole.
-bool can_be_placed(const job& job, const occurrence& occurrence, int step) {
+/// The number of tasks of a step that can be placed now. A gang is placed only
+/// as a whole.
+std::int64_t count_placeable(const job& job, const occurrence& occurrence,
+                             int step) {
     const auto& tasks = occurrence.steps[static_cast<std::size_t>(step)].tasks;
     const auto is_waiting = [](const task& task) {
         return task.phase == task_phase::waiting;
     };
-    const bool placeable = job.submission.steps(step).gang()
-                               ? std::ranges::all_of(tasks, is_waiting)
-                               : std::ranges::any_of(tasks, is_waiting);
-    return placeable && is_ready(job, occurrence, step);
+    const bool gang = job.submission.steps(step).gang();
+    if ((gang && !std::ranges::all_of(tasks, is_waiting)) ||
+        !is_ready(job, occurrence, step))
+        return 0;
+    return gang ? std::ssize(tasks) : std::ranges::count_if(tasks, is_waiting);
 }
 
 void add_units(const owner& self, const job& job,
                std::vector<waiting_unit>& units) {
     for (std::size_t index = 0; index < job.occurrences.size(); ++index)
         for (int step = 0; step < job.submission.steps_size(); ++step) {
-            if (!can_be_placed(job, job.occurrences[index], step))
+            const auto waiting =
+                count_placeable(job, job.occurrences[index], step);
+            if (waiting == 0)
                 continue;
-            const auto job_payoff =
-                payoff_of(self, job, job.occurrences[index]);
-            units.push_back({job_payoff == payoff::none, priority_of(self, job),
-                             job_payoff != payoff::in_full,
+            const auto prospect =
+                prospect_of(self, job, job.occurrences[index]);
+            units.push_back({prospect.expected == payoff::none,
+                             priority_of(self, job),
+                             prospect.expected != payoff::in_full,
+                             {},
                              job.submission.submitted_unix_ms(),
-                             job.submission.id(), index, step});
+                             job.submission.id(),
+                             index,
+                             step,
+                             &job,
+                             waiting,
+                             prospect.latest_start});
         }
 }
 
-/// Returns the units of all waiting jobs, in order. Removes jobs without units
+/// Returns the units of all waiting jobs. Removes jobs without units
 /// from `waiting_jobs`. Whatever gives such a job a new unit inserts it again.
 std::vector<waiting_unit> waiting_units(owner& self) {
     std::vector<waiting_unit> units;
@@ -61,7 +72,6 @@
                                       !queue_of(self, found->second));
         it = keep ? std::next(it) : self.waiting_jobs.erase(it);
     }
-    std::ranges::sort(units);
     return units;
 }
 
@@ -131,14 +141,15 @@
         self.run.now() < self.active_since + max_settling_time)
         return;
     remove_expired_reservations(self);
-    const auto units = waiting_units(self);
+    auto units = waiting_units(self);
     if (units.empty())
-        return;
+        return clear_shares(self);
     auto pass = begin_pass(self);
+    order_units(self, pass, units);
     const bool urgent_only = batch_work_waits(self);
-    for (const auto& unit : units)
-        if (unit.priority == 0 || !urgent_only)
-            place_unit(self, pass, unit);
+    for (std::size_t i = 0; i < units.size(); ++i)
+        if (units[i].priority == 0 || !urgent_only)
+            place_in_order(self, pass, units, i);
     self.run.metrics.gauge("units_waiting", static_cast<double>(units.size()));
 }
 
--- a/tests/fleet/owner_fixture.cpp
+++ b/tests/fleet/owner_fixture.cpp
@@ -23,6 +23,7 @@
     config.queues.push_back({"normal", "host", "/normal/", "order-desk", 1, 2,
                              3.0, duration{1000}});
     config.organisations.push_back({"kwela", {"kwela-key"}, 64});
+    config.organisations.push_back({"cwm", {"cwm-key"}, 0});
     return std::make_shared<const fleet::fleet_config>(config);
 }
 
@@ -52,12 +53,13 @@
     auto& job = stored.submission.emplace();
     job.set_id(id);
     job.set_queue(queue);
-    job.set_organisation("kwela");
-    job.set_submitted_unix_ms(process.runtime.unix_ms());
+    job.set_organisation(organisation);
+    job.set_submitted_unix_ms(process.runtime.unix_ms() -
+                              time_since_submission.count());
     auto* step = job.add_steps();
     step->set_count(tasks);
     to_record(each, step->mutable_each());
-    step->set_estimate_ms(60'000);
+    step->set_estimate_ms(declared_run_time.count());
     step->set_gang(gang);
     step->set_same_rack(same_rack);
     on_job_changed(owner, stored);
@@ -68,7 +70,7 @@
     owner.servers.at(agent_name(server)).health.degraded_until = sim.now + time;
 }
 
-void owner_fixture::report(int server) {
+fleet::AgentReport owner_fixture::make_report(int server) {
     fleet::AgentReport report;
     const auto agent = agent_name(server);
     report.set_failure_domain("za-north-a");
@@ -82,7 +84,23 @@
     to_record(whole_server, state->mutable_capacity());
     for (const auto& start : orders[agent].assigned())
         *report.add_running()->mutable_name() = start.name();
-    on_report(owner, agent, report);
+    return report;
+}
+
+void owner_fixture::report(int server) {
+    on_report(owner, agent_name(server), make_report(server));
+}
+
+void owner_fixture::complete(int server, int runs) {
+    auto report = make_report(server);
+    for (int n = 0; n < runs; ++n) {
+        auto* end = report.add_ended();
+        *end->mutable_name() = report.running(n).name();
+        end->set_how(fleet::RUN_DONE);
+        end->set_number(++ends_[server]);
+    }
+    report.mutable_running()->DeleteSubrange(0, runs);
+    on_report(owner, agent_name(server), report);
 }
 
 void owner_fixture::report_all() {
--- a/tests/fleet/owner_fixture.hpp
+++ b/tests/fleet/owner_fixture.hpp
@@ -27,6 +27,8 @@
 
     /// Reports a server that runs everything it was ordered to start.
     void report(int server);
+    /// Reports that the first runs of a server have ended successfully.
+    void complete(int server, int runs);
     void report_all();
 
     /// Runs the owner's timers and the store's replies for a time.
@@ -41,9 +43,16 @@
         store.client("owner", process.liveness());
     std::map<std::string, fleet::OwnerOrders> orders; // The latest, by agent.
     fleet::owner owner;
+    /// Of the jobs that are added from now on.
+    std::string organisation = "kwela";
+    duration declared_run_time{60'000};
+    duration time_since_submission{0};
 
 private:
+    fleet::AgentReport make_report(int server);
+
     int servers_;
+    std::map<int, std::int64_t> ends_; // By server.
     fleet::job_index jobs_;
 };
 
