Pack tasks by the shapes in recent demand

On a service that runs out of memory before accelerators, tasks went to the server with the least free accelerators, then cores. Six tasks of 79 GB or eight of 33 GB filled a server of 512 GB up, and a task of 270 GB found no server with room although half of the memory was free.

shape_mix holds up to eight shapes of recently submitted tasks with a half-life of 30 s. A task goes to the server where it costs the fewest tasks of the mix, weighted by demand and by size; ties by the former order. The owner uses it for a service only if cores or memory limit a shape of the mix on an average idle server and over half of that resource is in use or wanted. It rebuilds the mix from the jobs on record after a takeover and with a new configuration; ended jobs stay on record for five half-lives.

Ruled out: dropping the shape with the least weight when there are more than eight, with which small tasks displace the large ones that need the room; weights that depend on the order of the calls, which a takeover changes. Gangs on a single rack still choose the rack by the former order. Between half and full use placements may differ from the former ones although all work fits: the room for later tasks is lost before anything waits.

--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -8,6 +8,7 @@
 #include <celerylift/fleet/runtime.hpp>
 #include <celerylift/fleet/scheduling_policy.hpp>
 #include <celerylift/fleet/server_health.hpp>
+#include <celerylift/fleet/shape_mix.hpp>
 #include <celerylift/fleet/store.hpp>
 
 #include <fleet.pb.h>
@@ -119,6 +120,15 @@
     int sample_count = 0;
 };
 
+/// The demand for a service. Kept in memory; a new owner rebuilds it from the
+/// jobs on record.
+struct service_demand {
+    shape_mix mix;
+    /// Of the latest pass. Empty unless it packs tasks by the mix.
+    shape_costs costs;
+    time_point next_event{}; // The earliest time of a further journal line.
+};
+
 /// The state of the process that owns the cell. One owner at a time decides
 /// what runs where. A new owner rebuilds this state from the store and from
 /// the agents' reports.
@@ -144,6 +154,7 @@
     std::map<std::string, server> servers{};
     std::vector<reservation> reservations{};
     std::map<std::string, run_time_estimate> run_time_estimates{}; // By queue.
+    std::map<std::string, service_demand> demand{}; // By service.
     /// Services for which the last pass has left work waiting for room.
     std::set<std::string> services_with_work_left{};
     /// Dominant shares on display, by organisation.
--- a/modules/fleet/include/celerylift/fleet/placement.hpp
+++ b/modules/fleet/include/celerylift/fleet/placement.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celerylift/fleet/resources.hpp>
+#include <celerylift/fleet/shape_mix.hpp>
 #include <celerylift/time.hpp>
 
 #include <functional>
@@ -75,16 +76,18 @@
     /// may share a server.
     std::string_view crash;
     int max_jobs_of_crash = 0;
+    /// If set, tasks go where they cost the least room for those in demand.
+    const shape_costs* packing = nullptr;
 };
 
 /// The candidate's index for each placed task; empty if none is placed.
 using placement = std::vector<std::size_t>;
 
 /// Places all tasks or none. Fills the server with the least free capacity
-/// first, so that whole servers and racks stay free for large gangs: on a fleet
-/// at half load, small jobs would otherwise occupy a part of every rack.
-/// Subtracts the placed tasks from `candidates`. Visits each server once,
-/// however many tasks there are.
+/// first, unless the request has costs for packing, so that whole servers and
+/// racks stay free for large gangs: on a fleet at half load, small jobs would
+/// otherwise occupy a part of every rack. Subtracts the placed tasks from
+/// `candidates`. Visits each server once, however many tasks there are.
 placement place(std::vector<candidate_server>& candidates,
                 const placement_request& request);
 
--- a/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
+++ b/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
@@ -33,6 +33,8 @@
     /// Where work waits for room, organisations that hold little of the
     /// scarcest resource go first, then work with little time left.
     bool share_by_scarcity = true;
+    /// Tasks are placed where they cost the least room for other tasks.
+    bool pack_by_mix = true;
 
     bool operator==(const scheduling_policy&) const = default;
 };
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -211,6 +211,7 @@
     self.servers.clear();
     self.jobs.clear();
     self.reservations.clear();
+    self.demand.clear();
     self.next_share_events.clear();
     clear_shares(self);
     self.agents_to_update.clear();
@@ -260,6 +261,7 @@
     self.config = std::move(config);
     if (self.epoch == 0)
         return;
+    rebuild_demand(self);
     fail_jobs_without_attempts_left(self);
     process_changes(self);
 }
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -211,13 +211,19 @@
 /// Gathers the servers that can be given work, with their free capacity.
 schedule_pass begin_pass(owner& self);
 
-/// At most one journal line on the order of a service in this time.
+/// At most one journal line on the order and one on the packing of a service
+/// in this time.
 inline constexpr duration demand_event_interval{10'000};
 
 /// Whether an event of which `next_at` tells the earliest time may be written.
 bool is_due(const owner& self, time_point& next_at);
 
-/// Ranks the units of services that lack room for all of them, and sorts all.
+/// Determines what it costs in this pass to place tasks badly on a service.
+void update_packing(owner& self, const std::string& service,
+                    const service_capacity& capacity, const resources& waiting);
+
+/// Ranks the units of services that lack room for all of them, and determines
+/// which services are packed by the shapes in demand.
 void order_units(owner& self, schedule_pass& pass,
                  std::vector<waiting_unit>& units);
 
@@ -229,6 +235,15 @@
 /// Handles that no work waits.
 void clear_shares(owner& self);
 
+/// Adds the tasks of a submitted job to the demand for its service. Jobs of an
+/// unknown queue count once the configuration has it.
+void record_demand(owner& self, const job& job);
+void rebuild_demand(owner& self);
+
+/// What it costs to place tasks of a service badly, or null if that does not
+/// matter now.
+const shape_costs* packing_costs(const owner& self, const std::string& service);
+
 /// Assigns the tasks of a unit to servers. Where they do not fit, preempts
 /// other work or reserves capacity for them.
 void place_unit(owner& self, schedule_pass& pass, const waiting_unit& unit);
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -319,6 +319,7 @@
                     self.run.now());
         if (!is_final(job.state))
             self.waiting_jobs.insert(id);
+        record_demand(self, job);
     }
     if (!stored.cancelled || job.cancelled)
         return;
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -71,6 +71,7 @@
     request.job = job.submission.id();
     request.service = queue_of(self, job)->service;
     request.each = need_of(spec);
+    request.packing = packing_costs(self, request.service);
     request.required_label = spec.required_label();
     request.preferred_rack = spec.affinity_rack();
     request.max_per_server = spec.anti_affinity();
--- a/modules/fleet/src/owner_shares.cpp
+++ b/modules/fleet/src/owner_shares.cpp
@@ -174,6 +174,7 @@
         const auto found = pass.services.find(service);
         const auto capacity =
             found == pass.services.end() ? service_capacity{} : found->second;
+        update_packing(self, service, capacity, need);
         if (self.policy.share_by_scarcity &&
             (left_over.contains(service) || !fits(need, capacity.free)))
             pass.shares[service].total = capacity.total;
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -39,8 +39,10 @@
 }
 
 /// Lower is better: servers that are not degraded, those shown to be healthy if
-/// the request prefers them, the preferred rack, then the least free capacity.
-using preference = std::tuple<bool, int, bool, std::int64_t, std::int64_t>;
+/// the request prefers them, the preferred rack, the least cost for other
+/// tasks, then the least free capacity.
+using preference =
+    std::tuple<bool, int, bool, double, std::int64_t, std::int64_t>;
 
 /// How little is known about a server's health; 0 if that does not matter.
 int health_uncertainty(const candidate_server& server,
@@ -59,6 +61,18 @@
            server.rack != request.preferred_rack;
 }
 
+preference preference_for(const candidate_server& server,
+                          const placement_request& request) {
+    return {server.health_score < min_health_score,
+            health_uncertainty(server, request),
+            is_outside_preferred_rack(server, request),
+            request.packing
+                ? packing_cost(*request.packing, server.free, request.each)
+                : 0.0,
+            server.free.accelerators,
+            server.free.millicores};
+}
+
 /// A server and the number of tasks that fit on it.
 struct ranked_server {
     preference order_key;
@@ -95,11 +109,7 @@
     group.slots += slots;
     if (slots > 0)
         group.servers.push_back(
-            {{degraded, health_uncertainty(server, request),
-              outside_preferred_rack, server.free.accelerators,
-              server.free.millicores},
-             index,
-             slots});
+            {preference_for(server, request), index, slots});
 }
 
 /// Groups in order of preference: the fewest degraded servers, the preferred
@@ -123,10 +133,36 @@
     return groups;
 }
 
+/// Places one task after the other where it costs the least. Each task changes
+/// what the next one costs on its server.
+placement fill_by_cost(std::vector<candidate_server>& candidates,
+                       server_group& group, const placement_request& request) {
+    auto& heap = group.servers; // The best server is its front.
+    std::ranges::make_heap(heap, std::ranges::greater{});
+    placement result;
+    auto remaining = std::min<std::int64_t>(request.count, group.slots);
+    for (; remaining > 0; --remaining) {
+        std::ranges::pop_heap(heap, std::ranges::greater{});
+        auto& best = heap.back();
+        auto& server = candidates[best.index];
+        server.free -= request.each;
+        result.push_back(best.index);
+        if (--best.slots == 0) {
+            heap.pop_back();
+            continue;
+        }
+        best.order_key = preference_for(server, request);
+        std::ranges::push_heap(heap, std::ranges::greater{});
+    }
+    return result;
+}
+
 /// Fills one server after the other. Each task reduces the free capacity of
 /// its server, which therefore stays first in order until it is full.
 placement fill(std::vector<candidate_server>& candidates, server_group& group,
                const placement_request& request) {
+    if (request.packing)
+        return fill_by_cost(candidates, group, request);
     std::ranges::sort(group.servers);
     placement result;
     auto remaining = std::min<std::int64_t>(request.count, group.slots);
--- a/modules/fleet/src/scheduling_policy.cpp
+++ b/modules/fleet/src/scheduling_policy.cpp
@@ -17,6 +17,7 @@
         {"move_from_slow_servers", &policy::move_from_slow_servers},
         {"evacuate_leaving_servers", &policy::evacuate_leaving_servers},
         {"share_by_scarcity", &policy::share_by_scarcity},
+        {"pack_by_mix", &policy::pack_by_mix},
     };
     return switches;
 }
--- a/tests/fleet/fair_share_test.cpp
+++ b/tests/fleet/fair_share_test.cpp
@@ -73,6 +73,7 @@
 std::map<std::string, std::string> placements_with_room(bool switched_on) {
     owner_fixture fixture(32);
     fixture.owner.policy.share_by_scarcity = switched_on;
+    fixture.owner.policy.pack_by_mix = switched_on;
     for (int n = 1; n <= 12; ++n) {
         fixture.organisation = organisation_of(n);
         fixture.declared_run_time = duration{(n * 7 % 5 + 1) * 10'000};
