--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -11,6 +11,7 @@
 #include <celerylift/fleet/server_health.hpp>
 #include <celerylift/fleet/server_risk.hpp>
 #include <celerylift/fleet/server_speed.hpp>
+#include <celerylift/fleet/shape_mix.hpp>
 #include <celerylift/fleet/store.hpp>
 
 #include <fleet.pb.h>
@@ -22,6 +23,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace celerylift::fleet {
@@ -60,6 +62,7 @@
     /// False while the server lists a run whose task is not on record.
     bool all_runs_known = false;
     resources in_use;
+    std::vector<std::pair<std::string, resources>> by_organisation;
     server_occupancy occupancy;
     /// A run there will tell the server's speed.
     bool measures_speed = false;
@@ -138,6 +141,15 @@
     duration ran{0};
 };
 
+/// The demand for a service. Kept in memory; a new owner rebuilds it from
+/// the jobs on record.
+struct service_demand {
+    shape_mix mix;
+    /// Of the latest pass. Empty unless it packs tasks by the mix.
+    shape_costs costs;
+    time_point next_event{}; // The earliest time of a further journal line.
+};
+
 /// The state of the process that owns the cell. One owner at a time decides
 /// what runs where. A new owner rebuilds this state from the store and from
 /// the agents' reports.
@@ -147,7 +159,8 @@
     /// Whether this process certainly still owns the cell, by its lease.
     std::function<bool()> is_valid;
     std::function<void(const std::string& agent, const OwnerOrders&)> send;
-    /// Passes records that were just written on to this entry and the others.
+    /// Passes records that were just written on to this entry and the
+    /// others.
     std::function<void(const std::vector<store_item>&)> on_records_written;
 
     scheduling_policy policy{};
@@ -163,14 +176,21 @@
     std::map<std::string, job> jobs{};
     std::map<std::string, server> servers{};
     std::vector<reservation> reservations{};
-    /// The failure domains out of service. Kept while this process does not own
-    /// the cell.
+    /// The failure domains out of service. Kept while this process does not
+    /// own the cell.
     evacuation_view evacuations{};
     bool placement_suspended = false; // Because that view is not fresh.
     std::map<std::string, run_time_estimate> run_time_estimates{}; // By queue.
     std::deque<timed_run> timed_runs{}; // The latest ones.
     speed_distribution speeds{};
     time_point speeds_estimated_at{};
+    std::map<std::string, service_demand> demand{}; // By service.
+    /// Services for which the last pass has left work waiting for room.
+    std::set<std::string> services_with_work_left{};
+    /// Dominant shares on display, by organisation.
+    std::map<std::string, double> shown_shares{};
+    /// The earliest times of further journal lines, by service.
+    std::map<std::string, time_point> next_share_events{};
     std::set<std::string> agents_to_update{};
     /// Jobs that may have tasks to place, and jobs whose record must be
     /// written.
@@ -185,9 +205,9 @@
     time_point earliest_pass_at{};
 };
 
-/// Takes over the cell. `index` must hold all records up to the revision of the
-/// epoch. Placement begins once all expected agents have reported, or after a
-/// short timeout.
+/// Takes over the cell. `index` must hold all records up to the revision of
+/// the epoch. Placement begins once all expected agents have reported, or
+/// after a short timeout.
 void activate(owner& self, std::int64_t epoch, const job_index& index,
               const std::set<std::string>& expected_agents);
 void deactivate(owner& self);
@@ -206,8 +226,8 @@
 /// Handles timeouts and due occurrences. To be called about every 100 ms.
 void on_tick(owner& self);
 
-/// Writes the changed jobs, sends orders to the agents concerned, and schedules
-/// a pass over the waiting work.
+/// Writes the changed jobs, sends orders to the agents concerned, and
+/// schedules a pass over the waiting work.
 void process_changes(owner& self);
 
 /// Places all waiting work that fits now. Changes that arrive within a few
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -220,6 +220,9 @@
     self.timed_runs.clear();
     self.speeds = {};
     self.speeds_estimated_at = {};
+    self.demand.clear();
+    self.next_share_events.clear();
+    clear_shares(self);
     self.agents_to_update.clear();
     self.placement_suspended = false;
     self.waiting_jobs.clear();
@@ -268,6 +271,7 @@
     self.config = std::move(config);
     if (self.epoch == 0)
         return;
+    rebuild_demand(self);
     fail_jobs_without_attempts_left(self);
     process_changes(self);
 }
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -22,6 +22,17 @@
     occupancy.has_suspect = occupancy.has_suspect || closes;
 }
 
+void add_use(server_usage& usage, const job& job, const resources& need) {
+    const auto& name = job.submission.organisation();
+    usage.in_use += need;
+    for (auto& [organisation, in_use] : usage.by_organisation)
+        if (organisation == name) {
+            in_use += need;
+            return;
+        }
+    usage.by_organisation.emplace_back(name, need);
+}
+
 /// Adds the resources of runs that a server lists but that are not on record as
 /// assigned to it. Returns whether the task of each such run is known.
 bool add_unrecorded_runs(const owner& self, const server& server,
@@ -36,7 +47,7 @@
         if (assigned == server.assigned.end() ||
             assigned->second.task_ref->ended_in_gang) {
             const auto& step = step_of(it->second, *name);
-            usage.in_use += need_of(step);
+            add_use(usage, it->second, need_of(step));
             usage.measures_speed =
                 usage.measures_speed || tells_speed(server, step);
             add_occupant(usage.occupancy, name->job, false, {});
@@ -51,12 +62,14 @@
     server.usage.stale = false;
     self.run.metrics.count("rooms_refreshed_total");
     server.usage.in_use = {};
+    server.usage.by_organisation.clear();
     server.usage.occupancy = {};
     server.usage.measures_speed = false;
     for (const auto& [name, assigned] : server.assigned)
         if (!assigned.task_ref->ended_in_gang) {
-            const auto& step = step_of(*assigned.job_ref, name);
-            server.usage.in_use += need_of(step);
+            const auto& job = *assigned.job_ref;
+            const auto& step = step_of(job, name);
+            add_use(server.usage, job, need_of(step));
             server.usage.measures_speed =
                 server.usage.measures_speed || tells_speed(server, step);
             add_occupant(server.usage.occupancy, name.job,
@@ -99,6 +112,9 @@
 schedule_pass begin_pass(owner& self) {
     schedule_pass pass;
     pass.urgent_slowness_limit = urgent_slowness_limit(self);
+    pass.candidates.reserve(self.servers.size());
+    pass.servers.reserve(self.servers.size());
+    pass.index.reserve(self.servers.size());
     std::unordered_map<std::string_view, std::size_t> racks;
     const auto now = self.run.now();
     for (auto& [agent, server] : self.servers) {
@@ -138,6 +154,7 @@
         auto& service = pass.services[candidate.service];
         service.total += candidate.capacity;
         service.free += candidate.free;
+        ++service.servers;
         pass.index.emplace(agent, pass.candidates.size());
         pass.candidates.push_back(candidate);
         pass.servers.push_back(&server);
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -93,6 +93,7 @@
     request.job = job.submission.id();
     request.service = queue_of(self, job)->service;
     request.each = need_of(spec);
+    request.packing = packing_costs(self, request.service);
     request.required_label = spec.required_label();
     request.preferred_rack = spec.affinity_rack();
     request.max_per_server = spec.anti_affinity();
@@ -150,7 +151,7 @@
     const auto it = pass.services.find(service);
     if (it == pass.services.end())
         return true;
-    const auto& [total, free] = it->second;
+    const auto& [total, free, servers] = it->second;
     return free.millicores * 2 > total.millicores ||
            free.accelerators * 2 > total.accelerators;
 }
@@ -296,6 +297,7 @@
 void assign_candidate(owner& self, schedule_pass& pass, job& job, task& task,
                       std::size_t index, int run) {
     auto& server = *pass.servers[index];
+    ++pass.tasks_placed;
     add_occupant(pass.candidates[index], job, task);
     pass.candidates[index].free -= need_of(step_of(job, task.name));
     if (pass.candidates[index].on_probation)
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -97,6 +97,7 @@
     bool too_slow = false;
     int risk_class = 0; // 0 if the request does not consider it.
     int speed_rank = 0;
+    double packing_cost = 0; // For other tasks that are in demand.
     /// The least free capacity first.
     std::int64_t free_accelerators = 0;
     std::int64_t free_millicores = 0;
@@ -112,6 +113,9 @@
             is_too_slow(server, request),
             request.prefer_low_risk ? server.risk_class : 0,
             speed_rank(server, request),
+            request.packing
+                ? packing_cost(*request.packing, server.free, request.each)
+                : 0.0,
             server.free.accelerators,
             server.free.millicores};
 }
@@ -203,10 +207,37 @@
     return groups;
 }
 
+/// Places one task after the other where it costs the least. Each task changes
+/// what the next one costs on its server.
+placement fill_by_cost(std::vector<candidate_server>& candidates,
+                       server_group& group, const placement_request& request) {
+    auto& heap = group.servers; // The best server is its front.
+    std::ranges::make_heap(heap, std::ranges::greater{});
+    placement result;
+    auto remaining = std::min<std::int64_t>(request.count, group.slots);
+    for (; remaining > 0; --remaining) {
+        std::ranges::pop_heap(heap, std::ranges::greater{});
+        auto& best = heap.back();
+        auto& server = candidates[best.index];
+        server.free -= request.each;
+        server.has_unknown_speed = false;
+        result.push_back(best.index);
+        if (--best.slots == 0) {
+            heap.pop_back();
+            continue;
+        }
+        best.order_key = preference_for(server, request);
+        std::ranges::push_heap(heap, std::ranges::greater{});
+    }
+    return result;
+}
+
 /// Fills one server after the other. Each task reduces the free capacity of
 /// its server, which therefore stays first in order until it is full.
 placement fill(std::vector<candidate_server>& candidates, server_group& group,
                const placement_request& request) {
+    if (request.packing)
+        return fill_by_cost(candidates, group, request);
     std::ranges::sort(group.servers);
     placement result;
     auto remaining = std::min<std::int64_t>(request.count, group.slots);
--- a/modules/fleet/src/scheduling_policy.cpp
+++ b/modules/fleet/src/scheduling_policy.cpp
@@ -18,6 +18,8 @@
         {"evacuate_leaving_servers", &policy::evacuate_leaving_servers},
         {"use_server_speeds", &policy::use_server_speeds},
         {"avoid_risky_servers", &policy::avoid_risky_servers},
+        {"share_by_scarcity", &policy::share_by_scarcity},
+        {"pack_by_mix", &policy::pack_by_mix},
     };
     return switches;
 }
