Bound what the cell accepts by jobs, tasks and bytes on record

Ruled out: a lower limit on the tasks of one job (legal jobs have 8,000); a check by the owner after the write (the refusal would not be true, the job is on record); counting only waiting tasks (records stay for 150 s after the end of a job and hold more than a waiting task).

A job that would exceed one is answered 503, not run, with a Retry-After of 8 to 12 s, after a read has shown that it is not on record: the entry's view may lag behind. The same read now precedes the refusal of a large job. Jobs that this entry is writing count as well.

--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celerylift/fleet/accepted_limits.hpp>
 #include <celerylift/fleet/config.hpp>
 #include <celerylift/fleet/growing_timeout.hpp>
 #include <celerylift/fleet/job_api.hpp>
@@ -30,6 +31,8 @@
     scheduling_policy policy{};
     /// What large submissions on record may take together, in bytes.
     std::size_t max_large_bytes = 10UL * 1024 * 1024;
+    /// What all jobs on record may take together.
+    accepted_limits limits = derive_accepted_limits(default_entry_memory_mb);
 };
 
 /// An owner that has not read all jobs within this time leaves the cell to an
@@ -77,6 +80,7 @@
     std::optional<duration> own_claim_delay() const;
     void read_config();
     void tick();
+    void show_totals();
     void notify_entries(const std::vector<store_item>& items);
     void handle_notice(const Notice& notice);
     void serve_store_call(const std::string& entry, const StoreCall& call);
--- a/modules/fleet/include/celerylift/fleet/job_api.hpp
+++ b/modules/fleet/include/celerylift/fleet/job_api.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celerylift/fleet/accepted_limits.hpp>
 #include <celerylift/fleet/config.hpp>
 #include <celerylift/fleet/job_index.hpp>
 #include <celerylift/fleet/runtime.hpp>
@@ -76,6 +77,10 @@
     /// What large submissions on record may take together, in bytes; more of
     /// them are rejected until some have gone.
     std::size_t max_large_bytes = 10UL * 1024 * 1024;
+    /// What all jobs on record may take together.
+    accepted_limits limits = derive_accepted_limits(default_entry_memory_mb);
+    /// Jobs that this entry is writing to the store.
+    accepted_work in_flight{};
     /// When the process ends, if it is stopping. All calls are answered before.
     std::optional<time_point> ends_at{};
 };
--- a/modules/fleet/include/celerylift/fleet/job_index.hpp
+++ b/modules/fleet/include/celerylift/fleet/job_index.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celerylift/fleet/accepted_limits.hpp>
 #include <celerylift/fleet/store.hpp>
 
 #include <fleet.pb.h>
@@ -31,6 +32,8 @@
     std::map<std::string, stored_job> jobs;
     /// The sum over large submissions.
     std::size_t large_bytes = 0;
+    /// The sum over all submissions.
+    accepted_work accepted;
 };
 
 /// Applies a change of any part of a job. Returns the job's id, or nothing if
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -89,7 +89,8 @@
                [this] { return records_.outage(); },
                std::minstd_rand{static_cast<std::uint32_t>(
                    std::hash<std::string>{}(settings_.self.incarnation()))},
-               settings_.max_large_bytes},
+               settings_.max_large_bytes,
+               settings_.limits},
       cell_cache_(
           run, records_, std::string(cell_prefix), duration{0},
           [this](const store_change& change) { handle_cell_change(change); },
@@ -133,8 +134,16 @@
     deactivate(owner_);
 }
 
+void entry_node::show_totals() {
+    const auto& held = job_index_.accepted.all;
+    run_.metrics.gauge("accepted_jobs", static_cast<double>(held.jobs));
+    run_.metrics.gauge("accepted_tasks", static_cast<double>(held.tasks));
+    run_.metrics.gauge("accepted_bytes", static_cast<double>(held.bytes));
+}
+
 void entry_node::tick() {
     on_tick(owner_);
+    show_totals();
     try_activate();
     abandon_late_takeover();
     std::erase_if(agents_, [this](const auto& a) {
--- a/modules/fleet/src/job_api.cpp
+++ b/modules/fleet/src/job_api.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <optional>
+#include <utility>
 #include <variant>
 
 namespace celerylift::fleet {
@@ -18,8 +19,9 @@
 /// The part of a caller's timeout that is reserved for returning the answer.
 constexpr duration answer_reserve{150};
 
-/// When a caller should return whose large job has no room.
-constexpr duration large_job_return{8'000};
+/// When a caller should return whose job has no room: jobs end within seconds,
+/// and are removed minutes later.
+constexpr duration no_room_return{8'000};
 
 constexpr std::size_t max_payload_bytes = 4000;
 constexpr int max_steps = 64;
@@ -77,6 +79,8 @@
     int writes = 0;
     /// Each may have taken effect, or may still do so.
     int unanswered_writes = 0;
+    /// What the job adds to the jobs that are being written, by organisation.
+    std::optional<std::pair<std::string, accepted_totals>> in_flight{};
 
     /// Until when the call is to be answered.
     time_point answer_by() const {
@@ -101,6 +105,8 @@
 }
 
 void finish(const call_ptr& call, const char* verb, const answer& reply) {
+    if (const auto written = std::exchange(call->in_flight, std::nullopt))
+        remove(call->api.in_flight, written->first, written->second);
     const auto took_ms = (call->api.run.now() - call->started_at).count();
     call->api.run.journal.event(
         "call_answered",
@@ -292,10 +298,8 @@
     for (int i = 0; i < job.steps_size(); ++i)
         if (auto problem = validation_error(job.steps(i), i); !problem.empty())
             return problem;
-    std::int64_t tasks = 0;
-    for (const auto& step : job.steps())
-        tasks += step.count();
     const std::int64_t occurrences = std::max(1, job.occurrences());
+    const auto tasks = task_count(job) / occurrences;
     if (tasks * occurrences > max_tasks_in_job)
         return fmt::format(
             "the job has {} tasks in {} occurrences; allowed are {} in total; "
@@ -306,12 +310,100 @@
 
 namespace {
 
-bool has_room(const job_api& api, const Submission& job) {
+/// Why a valid job is refused.
+struct job_refusal {
+    const char* why = ""; // For counters and the journal.
+    std::string message;
+    duration retry_after{0};
+};
+
+bool has_room_for_large(const job_api& api, const Submission& job) {
     const auto size = job.ByteSizeLong();
     return size <= large_submission_bytes ||
            api.jobs->large_bytes + size <= api.max_large_bytes;
 }
 
+/// Adds up to a half, so that refused callers do not return together.
+duration spread(job_api& api, duration wait) {
+    const auto share = std::uniform_real_distribution<>{0, 0.5}(api.random);
+    return wait + duration{static_cast<std::int64_t>(
+                      share * static_cast<double>(wait.count()))};
+}
+
+/// Checks what the cell would hold with the job.
+std::optional<job_refusal> find_exceeded(job_api& api, const Submission& job) {
+    if (!has_room_for_large(api, job))
+        return job_refusal{"large",
+                           "the cell holds as many large jobs as it can; "
+                           "submit the job later, or a smaller one",
+                           no_room_return};
+    auto all = api.jobs->accepted.all;
+    all += api.in_flight.all;
+    auto own = totals_of(api.jobs->accepted, job.organisation());
+    own += totals_of(api.in_flight, job.organisation());
+    const auto found =
+        find_exceeded(api.limits, all, own, totals_of(job, job.ByteSizeLong()));
+    if (!found)
+        return std::nullopt;
+    return job_refusal{
+        to_string(found->bound),
+        fmt::format("{} {} {}, and may hold {}; submit the job later, or a "
+                    "smaller one",
+                    found->of_organisation
+                        ? "the organisation's jobs on record have"
+                        : "the jobs on record have",
+                    found->held, to_string(found->bound), found->limit),
+        spread(api, no_room_return)};
+}
+
+void record_refusal(const call_ptr& call, const job_refusal& refusal) {
+    const auto& held = call->api.jobs->accepted.all;
+    call->api.run.metrics.count(
+        fmt::format("jobs_refused_total{{why=\"{}\"}}", refusal.why));
+    call->api.run.journal.event(
+        "job_refused", {{"job", call->id},
+                        {"queue", call->access.queue.name},
+                        {"organisation", call->access.organisation},
+                        {"why", refusal.why},
+                        {"message", refusal.message},
+                        {"retry_after_ms", refusal.retry_after.count()},
+                        {"jobs_on_record", held.jobs},
+                        {"tasks_on_record", held.tasks},
+                        {"bytes_on_record", held.bytes}});
+}
+
+/// Refuses a job, unless it is on record: the entry's own view of the records
+/// may lag behind, and a job on record is not refused.
+void refuse(const call_ptr& call, const job_refusal& refusal) {
+    call->api.records.read(
+        job_key(call->id, job_part::submission), call->timeout(),
+        [call, refusal](const read_reply& reply) {
+            if (reply.status == store_status::ok) {
+                call->api.observe(reply.item);
+                return finish(call, "hand_in",
+                              make_answer(answer_kind::accepted, ""));
+            }
+            if (reply.status == store_status::not_found) {
+                record_refusal(call, refusal);
+                return finish(call, "hand_in",
+                              make_answer(answer_kind::not_run, refusal.message,
+                                          refusal.retry_after));
+            }
+            if (call->has_time())
+                return retry_later(call,
+                                   [call, refusal] { refuse(call, refusal); });
+            give_up_submission(call);
+        });
+}
+
+/// Counts a job as one that is being written, until its call is answered.
+void store_new_job(const call_ptr& call, const Submission& job) {
+    call->in_flight.emplace(job.organisation(),
+                            totals_of(job, job.ByteSizeLong()));
+    add(call->api.in_flight, call->in_flight->first, call->in_flight->second);
+    store_submission(call, job);
+}
+
 } // namespace
 
 void submit(job_api& api, const caller& from, const result<Submission>& job,
@@ -325,7 +417,8 @@
     if (const auto* failure = error_of(job))
         return finish(call, "hand_in",
                       make_answer(answer_kind::invalid, failure->message));
-    const auto& admitted = std::get<admission>(access);
+    call->access = std::get<admission>(access);
+    const auto& admitted = call->access;
     if (auto problem = validation_error(*decoded); !problem.empty())
         return finish(call, "hand_in",
                       make_answer(answer_kind::invalid, problem));
@@ -342,18 +435,13 @@
         return finish(call, "hand_in",
                       make_answer(answer_kind::not_run,
                                   "this entry is stopping; use another entry"));
-    if (!has_room(api, *decoded))
-        return finish(
-            call, "hand_in",
-            make_answer(answer_kind::not_run,
-                        "the cell holds as many large jobs as it can; submit "
-                        "the job later, or a smaller one",
-                        large_job_return));
     auto complete = *decoded;
     complete.set_queue(admitted.queue.name);
     complete.set_organisation(admitted.organisation);
     complete.set_submitted_unix_ms(api.run.unix_ms());
-    store_submission(call, complete);
+    if (const auto refusal = find_exceeded(api, complete))
+        return refuse(call, *refusal);
+    store_new_job(call, complete);
 }
 
 void show_state(job_api& api, const caller& from, const std::string& id,
--- a/modules/fleet/src/job_index.cpp
+++ b/modules/fleet/src/job_index.cpp
@@ -3,17 +3,33 @@
 #include <celerylift/fleet/jobs.hpp>
 #include <celerylift/fleet/names.hpp>
 
+#include <utility>
+
 namespace celerylift::fleet {
 
 namespace {
 
-void set_submission_bytes(job_index& index, stored_job& job,
-                          std::size_t bytes) {
-    const auto large = [](std::size_t size) {
-        return size > large_submission_bytes ? size : 0;
-    };
+std::size_t large(std::size_t bytes) {
+    return bytes > large_submission_bytes ? bytes : 0;
+}
+
+void remove_submission(job_index& index, stored_job& job) {
+    if (!job.submission)
+        return;
     index.large_bytes -= large(job.submission_bytes);
+    remove(index.accepted, job.submission->organisation(),
+           totals_of(*job.submission, job.submission_bytes));
+    job.submission.reset();
+    job.submission_bytes = 0;
+}
+
+void set_submission(job_index& index, stored_job& job, Submission submission,
+                    std::size_t bytes) {
+    remove_submission(index, job);
     index.large_bytes += large(bytes);
+    add(index.accepted, submission.organisation(),
+        totals_of(submission, bytes));
+    job.submission = std::move(submission);
     job.submission_bytes = bytes;
 }
 
@@ -22,10 +38,8 @@
     if (found == index.jobs.end())
         return;
     auto& job = found->second;
-    if (key.part == job_part::submission) {
-        job.submission.reset();
-        set_submission_bytes(index, job, 0);
-    }
+    if (key.part == job_part::submission)
+        remove_submission(index, job);
     if (key.part == job_part::cancellation)
         job.cancelled = false;
     if (key.part == job_part::progress)
@@ -44,8 +58,7 @@
         Submission submission;
         if (!submission.ParseFromString(item.value))
             return false;
-        job.submission = std::move(submission);
-        set_submission_bytes(index, job, item.value.size());
+        set_submission(index, job, std::move(submission), item.value.size());
         job.submission_revision = item.revision;
         return true;
     }
--- a/modules/host/include/celerylift/host/fleet_settings.hpp
+++ b/modules/host/include/celerylift/host/fleet_settings.hpp
@@ -2,6 +2,7 @@
 
 #include <celerylift/base/settings_reader.hpp>
 #include <celerylift/error.hpp>
+#include <celerylift/fleet/accepted_limits.hpp>
 #include <celerylift/fleet/scheduling_policy.hpp>
 #include <celerylift/net/request_budget.hpp>
 
@@ -23,7 +24,10 @@
     /// leads.
     double processor_share = 1.0; // Of a core.
     double link_mbps = 1000.0;
-    net::client_limits clients = net::derive_client_limits(260, 4100);
+    net::client_limits clients =
+        net::derive_client_limits(fleet::default_entry_memory_mb, 4100);
+    fleet::accepted_limits accepted =
+        fleet::derive_accepted_limits(fleet::default_entry_memory_mb);
     /// Entries to connect to first. Some may no longer exist; one is this
     /// entry.
     std::vector<base::address> entries;
--- a/modules/host/src/fleet_entry.cpp
+++ b/modules/host/src/fleet_entry.cpp
@@ -38,6 +38,7 @@
         out.seed_entries.push_back(to_string(entry));
     out.policy = settings.policy;
     out.max_large_bytes = settings.clients.max_bytes / 4;
+    out.limits = settings.accepted;
     return out;
 }
 
--- a/modules/host/src/fleet_settings.cpp
+++ b/modules/host/src/fleet_settings.cpp
@@ -36,14 +36,16 @@
 
 /// Reads what clients may hold from the memory and the descriptors of the
 /// machine. The settings name both or neither; 0 stands for the default.
-void read_client_limits(base::settings_reader& limits,
-                        net::client_limits& clients) {
+/// Returns the memory, or 0.
+std::int64_t read_client_limits(base::settings_reader& limits,
+                                net::client_limits& clients) {
     if (!limits.has("memory_mb") && !limits.has("max_fds"))
-        return;
+        return 0;
     const auto memory = limits.number("memory_mb", 0, max_memory_mb);
     const auto descriptors = limits.number("max_fds", 0, max_descriptors);
     if (memory > 0 && descriptors > 0)
         clients = net::derive_client_limits(memory, descriptors);
+    return memory;
 }
 
 /// Reads the switches of the scheduling policy. A mechanism that is not named
@@ -85,7 +87,8 @@
         settings.processor_share =
             limits.decimal("processor_share", 0, max_cores);
         settings.link_mbps = limits.decimal("link_mbps", 0, max_link_mbps);
-        read_client_limits(limits, settings.clients);
+        if (const auto memory = read_client_limits(limits, settings.clients))
+            settings.accepted = fleet::derive_accepted_limits(memory);
         limits.check_unknown_keys();
         reader.merge_error(limits);
     }
--- a/tests/fleet/fleet_settings_test.cpp
+++ b/tests/fleet/fleet_settings_test.cpp
@@ -87,4 +87,17 @@
     EXPECT_EQ(limits("  memory_mb: 0\n  max_fds: 0\n"), limits(""));
 }
 
+TEST(client_settings, bound_accepted_jobs_by_the_memory_of_the_machine) {
+    const auto limits = [](const std::string& lines) {
+        const auto settings = read_with(
+            "limits:\n  processor_share: 1\n  link_mbps: 1000\n" + lines);
+        EXPECT_EQ(error_text(settings), "");
+        return std::get<host::fleet_entry_settings>(settings).accepted;
+    };
+    EXPECT_EQ(limits("  memory_mb: 512\n  max_fds: 1000\n"),
+              fleet::derive_accepted_limits(512));
+    EXPECT_EQ(limits(""), fleet::derive_accepted_limits(260));
+    EXPECT_EQ(limits("  memory_mb: 0\n  max_fds: 0\n"), limits(""));
+}
+
 } // namespace celerylift::test
