Refuse at admission what the cell cannot run in time

Cause: entries accept every valid job. In a burst beyond the capacity all jobs become late, and a job that fits no server waits for ever; the caller is told neither.

Ruled out: refusal by the owner after the write (late, and not true as "not run"); asking the owner for each job; the plain quotient of work and capacity, because a gang that runs for an hour on a quarter of the servers would count as fifteen minutes in which nothing starts; counting waiting work that is late, because a new job goes before it.

Change: cell_load (pure) computes per service the largest server, the totals and for each priority the time for which the work that goes before a new job occupies the service, and decides at the door with hysteresis. owner_load sums up jobs and servers every 500 ms and publishes on material change, each 1 s while there is a backlog (a refusal relies on 2 s at most) and each 5 s else; not while the servers of a new owner are unknown, for 10 s at most. Entries keep the newest by epoch and sequence number, ignore it once it is old, and read the store before a refusal, so that a job on record is accepted. Switch refuse_by_load. A welcome that an entry of an earlier version sends in answer to a load is not answered.

--- a/bench/fleet_pass_bench.cpp
+++ b/bench/fleet_pass_bench.cpp
@@ -1,5 +1,6 @@
 // Measures the owner's time for one report in a fully loaded fleet, including
-// the scheduling pass over the waiting work, for several fleet sizes.
+// the scheduling pass over the waiting work, and for computing the load of the
+// cell, for several fleet sizes.
 #include "owner_fixture.hpp"
 
 #include <algorithm>
@@ -13,6 +14,7 @@
 using namespace celerylift;
 
 constexpr int reports = 300;
+constexpr int ticks = 100;
 constexpr int tasks_in_gang = 13;
 constexpr fleet::resources large{52'000, 270'000, 4};
 constexpr fleet::resources small{11'000, 46'000, 1};
@@ -37,6 +39,28 @@
     fixture.run_for(std::chrono::milliseconds{300});
 }
 
+double time_tick_us(test::owner_fixture& fixture) {
+    const auto begin = std::chrono::steady_clock::now();
+    on_tick(fixture.owner);
+    const std::chrono::duration<double, std::micro> took =
+        std::chrono::steady_clock::now() - begin;
+    return took.count();
+}
+
+/// How much longer a tick takes in which the load of the cell is computed.
+std::vector<double> measure_load(test::owner_fixture& fixture) {
+    fixture.owner.on_load = [](const fleet::cell_load&) {};
+    std::vector<double> took_us;
+    for (int n = 0; n < ticks; ++n) {
+        fixture.report_all();
+        fixture.run_for(fleet::load_period);
+        const auto with_load = time_tick_us(fixture);
+        took_us.push_back(with_load - time_tick_us(fixture));
+    }
+    std::ranges::sort(took_us);
+    return took_us;
+}
+
 void measure(int servers, int waiting_tasks) {
     test::owner_fixture fixture(servers);
     load(fixture, servers, waiting_tasks);
@@ -52,16 +76,20 @@
             fixture.report_all();
     }
     std::ranges::sort(took_us);
-    fmt::print("| {} | {} | {} | {:.0f} | {:.0f} |\n", servers,
-               fixture.assigned_tasks(), waiting_tasks, took_us[reports / 2],
-               took_us[reports * 99 / 100]);
+    const auto load_us = measure_load(fixture);
+    fmt::print("| {} | {} | {} | {:.0f} | {:.0f} | {:.0f} | {:.0f} |\n",
+               servers, fixture.assigned_tasks(), waiting_tasks,
+               took_us[reports / 2], took_us[reports * 99 / 100],
+               load_us[ticks / 2], load_us[ticks * 99 / 100]);
 }
 
 } // namespace
 
 int main() {
-    fmt::print("| servers | running | waiting | report, us p50 | p99 |\n");
-    fmt::print("|---|---|---|---|---|\n");
+    fmt::print(
+        "| servers | running | waiting | report, us p50 | p99 | load, us "
+        "p50 | p99 |\n");
+    fmt::print("|---|---|---|---|---|---|---|\n");
     measure(160, 200);
     measure(160, 2000);
     measure(1600, 2000);
--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -81,6 +81,8 @@
     void read_config();
     void tick();
     void show_totals();
+    void handle_load(const cell_load& load);
+    void send_load(const cell_load& load);
     void notify_entries(const std::vector<store_item>& items);
     void handle_notice(const Notice& notice);
     void serve_store_call(const std::string& entry, const StoreCall& call);
--- a/modules/fleet/include/celerylift/fleet/job_api.hpp
+++ b/modules/fleet/include/celerylift/fleet/job_api.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celerylift/fleet/accepted_limits.hpp>
+#include <celerylift/fleet/cell_load.hpp>
 #include <celerylift/fleet/config.hpp>
 #include <celerylift/fleet/job_index.hpp>
 #include <celerylift/fleet/runtime.hpp>
@@ -81,6 +82,10 @@
     accepted_limits limits = derive_accepted_limits(default_entry_memory_mb);
     /// Jobs that this entry is writing to the store.
     accepted_work in_flight{};
+    /// The newest load that the owner has published. Without it, or once it is
+    /// old, jobs are admitted.
+    std::optional<known_load> load{};
+    bool refuse_by_load = true;
     /// When the process ends, if it is stopping. All calls are answered before.
     std::optional<time_point> ends_at{};
 };
--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celerylift/fleet/cell_load.hpp>
 #include <celerylift/fleet/config.hpp>
 #include <celerylift/fleet/growing_timeout.hpp>
 #include <celerylift/fleet/job_index.hpp>
@@ -17,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -117,6 +119,13 @@
     int sample_count = 0;
 };
 
+/// The load that this owner has published last.
+struct published_load {
+    std::optional<cell_load> published;
+    time_point published_at{};
+    time_point next_at{}; // When the load is computed again.
+};
+
 /// The state of the process that owns the cell. One owner at a time decides
 /// what runs where. A new owner rebuilds this state from the store and from
 /// the agents' reports.
@@ -154,6 +163,10 @@
 
     bool pass_scheduled = false;
     time_point earliest_pass_at{};
+
+    published_load load{};
+    /// Passes the load of the cell on to this entry and the others.
+    std::function<void(const cell_load&)> on_load{};
 };
 
 /// Takes over the cell. `index` must hold all records up to the revision of the
@@ -171,7 +184,8 @@
 void on_report(owner& self, const std::string& agent,
                const AgentReport& report);
 
-/// Handles timeouts and due occurrences. To be called about every 100 ms.
+/// Handles timeouts and due occurrences, and publishes the load. To be called
+/// about every 100 ms.
 void on_tick(owner& self);
 
 /// Writes the changed jobs, sends orders to the agents concerned, and schedules
--- a/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
+++ b/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
@@ -30,6 +30,8 @@
     bool move_from_slow_servers = true;
     /// Runs are moved away from servers that leave before the runs can end.
     bool evacuate_leaving_servers = true;
+    /// Jobs that fit no server, or that could only end too late, are refused.
+    bool refuse_by_load = true;
 
     bool operator==(const scheduling_policy&) const = default;
 };
--- a/modules/fleet/src/accepted_limits.cpp
+++ b/modules/fleet/src/accepted_limits.cpp
@@ -10,7 +10,7 @@
 
 /// A task takes 0.41 KB at the owner while it waits, and 0.85 KB with its
 /// record once it has started. Tasks may take a quarter of the memory.
-constexpr std::int64_t memory_per_task = 4 * 1024;
+constexpr std::int64_t memory_per_task = 4L * 1024;
 /// A job takes 1.8 KB beside its tasks. Jobs may take a quarter of the memory,
 /// so that there may be half as many of them as tasks.
 constexpr std::int64_t memory_per_job = 2 * memory_per_task;
@@ -63,7 +63,7 @@
     std::int64_t tasks = 0;
     for (const auto& step : job.steps())
         tasks += step.count();
-    return tasks * std::max(1, job.occurrences());
+    return tasks * std::max<std::int64_t>(1, job.occurrences());
 }
 
 accepted_totals totals_of(const Submission& job, std::size_t bytes) {
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -104,6 +104,11 @@
                         handle_config_change(change);
                     }) {
     std::erase(settings_.seed_entries, settings_.self.address());
+    job_api_.refuse_by_load = settings_.policy.refuse_by_load;
+    owner_.on_load = [this](const cell_load& load) {
+        handle_load(load);
+        send_load(load);
+    };
 }
 
 bool entry_node::is_seed_entry(const std::string& address) const {
@@ -301,6 +306,12 @@
         return records_.handle_reply(envelope.store_reply());
     if (envelope.has_store_call())
         return serve_store_call(from, envelope.store_call());
+    if (envelope.has_load())
+        return handle_load(from_record(envelope.load()));
+    // An entry of an earlier version takes a load for a message of an agent and
+    // answers it. An answer to that would be answered again.
+    if (envelope.has_welcome())
+        return;
     auto& known = agents_[from];
     known.last_message_at = run_.now();
     if (envelope.has_hello())
@@ -357,6 +368,19 @@
             job_cache_.observe({item.key(), item.value(), item.revision()});
 }
 
+void entry_node::handle_load(const cell_load& load) {
+    if (!apply_load(job_api_.load, load, run_.now()))
+        run_.metrics.count("loads_ignored_total");
+}
+
+void entry_node::send_load(const cell_load& load) {
+    FleetEnvelope envelope;
+    *envelope.mutable_load() = to_record(load);
+    for (const auto& [name, record] : entries_)
+        if (name != settings_.self.name())
+            peers_.send(record.address(), envelope);
+}
+
 void entry_node::serve_store_call(const std::string& entry,
                                   const StoreCall& call) {
     records_.serve(call, [this, entry](const StoreReply& reply) {
--- a/modules/fleet/src/job_api.cpp
+++ b/modules/fleet/src/job_api.cpp
@@ -372,6 +372,38 @@
                         {"bytes_on_record", held.bytes}});
 }
 
+/// Whether an organisation holds its equal share of the tasks on record.
+bool has_large_share(const job_api& api, const std::string& organisation) {
+    const auto& held = api.jobs->accepted;
+    const auto organisations =
+        static_cast<std::int64_t>(held.by_organisation.size());
+    return totals_of(held, organisation).tasks * organisations >=
+           held.all.tasks;
+}
+
+/// Checks whether the servers could run the job in time.
+std::optional<job_refusal> find_hopeless(job_api& api, const Submission& job,
+                                         const queue_config& queue) {
+    if (!api.refuse_by_load)
+        return std::nullopt;
+    const auto found =
+        refuse_by_load(api.load, job, queue,
+                       has_large_share(api, job.organisation()), api.run.now());
+    if (!found)
+        return std::nullopt;
+    if (found->is_too_large)
+        return job_refusal{"oversized",
+                           "a task needs more than any server of the service "
+                           "has; submit smaller tasks",
+                           spread(api, found->retry_after)};
+    return job_refusal{
+        "late",
+        fmt::format("the service is occupied for {} ms, and the job would end "
+                    "too late if it waited for over {} ms; submit it later",
+                    found->drain.count(), found->max_wait.count()),
+        spread(api, found->retry_after)};
+}
+
 /// Refuses a job, unless it is on record: the entry's own view of the records
 /// may lag behind, and a job on record is not refused.
 void refuse(const call_ptr& call, const job_refusal& refusal) {
@@ -441,6 +473,8 @@
     complete.set_submitted_unix_ms(api.run.unix_ms());
     if (const auto refusal = find_exceeded(api, complete))
         return refuse(call, *refusal);
+    if (const auto refusal = find_hopeless(api, complete, admitted.queue))
+        return refuse(call, *refusal);
     store_new_job(call, complete);
 }
 
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -208,6 +208,7 @@
 }
 
 void clear_state(owner& self) {
+    self.load = {};
     self.servers.clear();
     self.jobs.clear();
     self.reservations.clear();
@@ -318,6 +319,7 @@
     lose_runs_of_unresponsive_servers(self);
     if (self.is_valid())
         remove_old_jobs(self);
+    publish_load(self);
     process_changes(self);
 }
 
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -183,6 +183,10 @@
     int reservation_plans_left = 8;
 };
 
+/// Computes the load of the cell and publishes it if it is due. Each call but
+/// one in `load_period` returns at once.
+void publish_load(owner& self);
+
 /// Gathers the servers that can be given work, with their free capacity.
 schedule_pass begin_pass(owner& self);
 
--- a/modules/fleet/src/scheduling_policy.cpp
+++ b/modules/fleet/src/scheduling_policy.cpp
@@ -16,6 +16,7 @@
         {"pause_after_failures", &policy::pause_after_failures},
         {"move_from_slow_servers", &policy::move_from_slow_servers},
         {"evacuate_leaving_servers", &policy::evacuate_leaving_servers},
+        {"refuse_by_load", &policy::refuse_by_load},
     };
     return switches;
 }
