--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celerylift/fleet/accepted_limits.hpp>
 #include <celerylift/fleet/config.hpp>
 #include <celerylift/fleet/evacuation_follower.hpp>
 #include <celerylift/fleet/growing_timeout.hpp>
@@ -34,6 +35,8 @@
     /// Prefix of the operators' requests to take failure domains out of
     /// service. Empty: there are none.
     std::string evacuation_prefix{};
+    /// What all jobs on record may take together.
+    accepted_limits limits = derive_accepted_limits(default_entry_memory_mb);
 };
 
 /// An owner that has not read all jobs within this time leaves the cell to an
@@ -83,6 +86,9 @@
     void handle_evacuations();
     void log_unknown_domains();
     void tick();
+    void show_totals();
+    void handle_load(const cell_load& load);
+    void send_load(const cell_load& load);
     void notify_entries(const std::vector<store_item>& items);
     void handle_notice(const Notice& notice);
     void serve_store_call(const std::string& entry, const StoreCall& call);
--- a/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
+++ b/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
@@ -39,6 +39,8 @@
     bool share_by_scarcity = true;
     /// Tasks are placed where they cost the least room for other tasks.
     bool pack_by_mix = true;
+    /// Jobs that fit no server, or that could only end too late, are refused.
+    bool refuse_by_load = true;
 
     bool operator==(const scheduling_policy&) const = default;
 };
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -95,7 +95,8 @@
                [this] { return records_.outage(); },
                std::minstd_rand{static_cast<std::uint32_t>(
                    std::hash<std::string>{}(settings_.self.incarnation()))},
-               settings_.max_large_bytes},
+               settings_.max_large_bytes,
+               settings_.limits},
       cell_cache_(
           run, records_, std::string(cell_prefix), duration{0},
           [this](const store_change& change) { handle_cell_change(change); },
@@ -112,6 +113,11 @@
     if (!settings_.evacuation_prefix.empty())
         evacuations_.emplace(run, records_, settings_.evacuation_prefix,
                              [this] { handle_evacuations(); });
+    job_api_.refuse_by_load = settings_.policy.refuse_by_load;
+    owner_.on_load = [this](const cell_load& load) {
+        handle_load(load);
+        send_load(load);
+    };
 }
 
 bool entry_node::is_seed_entry(const std::string& address) const {
@@ -144,8 +150,16 @@
     deactivate(owner_);
 }
 
+void entry_node::show_totals() {
+    const auto& held = job_index_.accepted.all;
+    run_.metrics.gauge("accepted_jobs", static_cast<double>(held.jobs));
+    run_.metrics.gauge("accepted_tasks", static_cast<double>(held.tasks));
+    run_.metrics.gauge("accepted_bytes", static_cast<double>(held.bytes));
+}
+
 void entry_node::tick() {
     on_tick(owner_);
+    show_totals();
     try_activate();
     abandon_late_takeover();
     if (evacuations_ && evacuations_->view().state.as_of < gained_epoch_)
@@ -336,6 +350,12 @@
         return records_.handle_reply(envelope.store_reply());
     if (envelope.has_store_call())
         return serve_store_call(from, envelope.store_call());
+    if (envelope.has_load())
+        return handle_load(from_record(envelope.load()));
+    // An entry of an earlier version takes a load for a message of an agent and
+    // answers it. An answer to that would be answered again.
+    if (envelope.has_welcome())
+        return;
     auto& known = agents_[from];
     known.last_message_at = run_.now();
     if (envelope.has_hello())
@@ -392,6 +412,19 @@
             job_cache_.observe({item.key(), item.value(), item.revision()});
 }
 
+void entry_node::handle_load(const cell_load& load) {
+    if (!apply_load(job_api_.load, load, run_.now()))
+        run_.metrics.count("loads_ignored_total");
+}
+
+void entry_node::send_load(const cell_load& load) {
+    FleetEnvelope envelope;
+    *envelope.mutable_load() = to_record(load);
+    for (const auto& [name, record] : entries_)
+        if (name != settings_.self.name())
+            peers_.send(record.address(), envelope);
+}
+
 void entry_node::serve_store_call(const std::string& entry,
                                   const StoreCall& call) {
     records_.serve(call, [this, entry](const StoreReply& reply) {
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -213,6 +213,7 @@
 }
 
 void clear_state(owner& self) {
+    self.load = {};
     self.servers.clear();
     self.restarts = {};
     self.jobs.clear();
@@ -344,6 +345,7 @@
     if (self.is_valid())
         remove_old_jobs(self);
     update_speeds(self);
+    publish_load(self);
     process_changes(self);
 }
 
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -258,6 +258,9 @@
 
 /// Whether the operators have taken the server's failure domain out of service.
 bool is_out_of_service(const owner& self, const server& server);
+/// Computes the load of the cell and publishes it if it is due. Each call but
+/// one in `load_period` returns at once.
+void publish_load(owner& self);
 
 /// Gathers the servers that can be given work, with their free capacity.
 schedule_pass begin_pass(owner& self);
--- a/modules/fleet/src/scheduling_policy.cpp
+++ b/modules/fleet/src/scheduling_policy.cpp
@@ -20,6 +20,7 @@
         {"avoid_risky_servers", &policy::avoid_risky_servers},
         {"share_by_scarcity", &policy::share_by_scarcity},
         {"pack_by_mix", &policy::pack_by_mix},
+        {"refuse_by_load", &policy::refuse_by_load},
     };
     return switches;
 }
--- a/modules/host/src/fleet_entry.cpp
+++ b/modules/host/src/fleet_entry.cpp
@@ -40,6 +40,7 @@
     if (settings.evacuation_bound > duration{0})
         out.evacuation_prefix = adapter::evacuation_prefix;
     out.max_large_bytes = settings.clients.max_bytes / 4;
+    out.limits = settings.accepted;
     return out;
 }
 
