Pack by the mix only once work has waited for room

Cause: packing changed placements on services that are over half full although all work had room, against the rule that nothing changes there. The preemption of work that can afford it stays.

--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -149,7 +149,8 @@
     shape_mix mix;
     /// Of the latest pass. Empty unless it packs tasks by the mix.
     shape_costs costs;
-    time_point next_event{}; // The earliest time of a further journal line.
+    time_point next_event{};  // The earliest time of a further journal line.
+    time_point packs_until{}; // Since work has waited for room.
 };
 
 /// The load that this owner has published last.
--- a/modules/fleet/include/celerylift/fleet/placement.hpp
+++ b/modules/fleet/include/celerylift/fleet/placement.hpp
@@ -101,8 +101,6 @@
     double slowness_limit = no_slowness_limit;
     /// Excludes servers beyond that limit.
     bool within_limit_only = false;
-    /// The fastest and the slowest class of speeds that may be used.
-    std::optional<std::pair<int, int>> speed_classes{};
     /// Servers of unknown speed get one task each first.
     bool explores_speeds = false;
     /// If set, tasks go where they cost the least room for those in demand.
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -273,8 +273,10 @@
 bool is_due(const owner& self, time_point& next_at);
 
 /// Determines what it costs in this pass to place tasks badly on a service.
+/// Nothing until work has waited there for room.
 void update_packing(owner& self, const std::string& service,
-                    const service_capacity& capacity, const resources& waiting);
+                    const service_capacity& capacity, const resources& waiting,
+                    bool lacks_room);
 
 /// Ranks the units of services that lack room for all of them, and determines
 /// which services are packed by the shapes in demand.
--- a/modules/fleet/src/owner_packing.cpp
+++ b/modules/fleet/src/owner_packing.cpp
@@ -4,6 +4,11 @@
 
 namespace {
 
+/// For how long a service goes on to pack by the mix once no work waits for
+/// room. Tasks run for some seconds, so what is placed within this time still
+/// decides how much fits in the next burst.
+constexpr duration packing_time{10'000};
+
 /// The capacity of an average server of a service.
 resources average_server(const service_capacity& capacity) {
     return {capacity.total.millicores / capacity.servers,
@@ -37,11 +42,14 @@
 }
 
 void update_packing(owner& self, const std::string& service,
-                    const service_capacity& capacity,
-                    const resources& waiting) {
+                    const service_capacity& capacity, const resources& waiting,
+                    bool lacks_room) {
     auto& demand = self.demand[service];
     demand.costs.clear();
-    if (!self.policy.pack_by_mix || capacity.servers == 0)
+    if (lacks_room)
+        demand.packs_until = self.run.now() + packing_time;
+    if (!self.policy.pack_by_mix || capacity.servers == 0 ||
+        self.run.now() >= demand.packs_until)
         return;
     const auto idle_server = average_server(capacity);
     auto wanted = capacity.total;
--- a/modules/fleet/src/owner_shares.cpp
+++ b/modules/fleet/src/owner_shares.cpp
@@ -174,9 +174,10 @@
         const auto found = pass.services.find(service);
         const auto capacity =
             found == pass.services.end() ? service_capacity{} : found->second;
-        update_packing(self, service, capacity, need);
-        if (self.policy.share_by_scarcity &&
-            (left_over.contains(service) || !fits(need, capacity.free)))
+        const bool lacks_room =
+            left_over.contains(service) || !fits(need, capacity.free);
+        update_packing(self, service, capacity, need, lacks_room);
+        if (self.policy.share_by_scarcity && lacks_room)
             pass.shares[service].total = capacity.total;
     }
     if (!pass.shares.empty())
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -282,10 +282,6 @@
         return false;
     if (request.within_limit_only && server.slowness > request.slowness_limit)
         return false;
-    if (request.speed_classes &&
-        (speed_class(server.slowness) < request.speed_classes->first ||
-         speed_class(server.slowness) > request.speed_classes->second))
-        return false;
     if (!request.avoid.empty() && request.avoid.contains(server.agent))
         return false;
     return request.required_label.empty() ||
@@ -293,34 +289,8 @@
                server.labels->end();
 }
 
-namespace {
-
-/// Places a gang on servers of about the same speed, the slowest that are fast
-/// enough. Next to slow members, fast servers would only wait for them.
-placement place_on_like_servers(std::vector<candidate_server>& candidates,
-                                const placement_request& request) {
-    std::set<int, std::greater<>> classes;
-    for (const auto& server : candidates)
-        if (server.slowness <= request.slowness_limit)
-            classes.insert(speed_class(server.slowness));
-    for (const int slowest : classes) {
-        auto narrowed = request;
-        narrowed.speed_classes = {slowest - 1, slowest};
-        for (auto& group : groups_in_order(candidates, narrowed))
-            if (group.slots >= request.count)
-                return fill(candidates, group, narrowed);
-    }
-    return {};
-}
-
-} // namespace
-
 placement place(std::vector<candidate_server>& candidates,
                 const placement_request& request) {
-    if (request.by_speed == speed_order::slowest_first && request.count > 1)
-        if (auto found = place_on_like_servers(candidates, request);
-            !found.empty())
-            return found;
     for (auto& group : groups_in_order(candidates, request))
         if (group.slots >= request.count)
             return fill(candidates, group, request);
