Mend what the review of speeds and placement found

Change: each is mended at its place; speeds are judged by service, with a share of differing servers that chance does not reach, and a run counts by what the other runs of its step tell. The loss of work that can be in time counts a tenth. Not changed: work that no server can ever run keeps its service ordered by share.

--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -107,6 +107,7 @@
     /// former owner has left with the agent.
     speed_estimate speed;
     speed_estimate inherited_speed;
+    time_point cold_until{}; // The server is slow after its start until then.
     /// Of the host. Kept when the server starts again, unlike its health.
     server_history history;
     int known_risk = no_risk; // Risk class at the last check.
@@ -125,6 +126,9 @@
     /// that is expected to end before `ready_at`.
     int priority = 0;
     time_point ready_at{};
+    /// For an urgent gang, on servers that are fast enough for it to be in
+    /// time.
+    bool on_fast_servers = false;
 };
 
 /// How long the recent runs of a queue's tasks have taken.
@@ -191,8 +195,8 @@
     evacuation_view evacuations{};
     bool placement_suspended = false; // Because that view is not fresh.
     std::map<std::string, run_time_estimate> run_time_estimates{}; // By queue.
-    std::deque<timed_run> timed_runs{}; // The latest ones.
-    speed_distribution speeds{};
+    std::deque<timed_run> timed_runs{};                 // The latest ones.
+    std::map<std::string, speed_distribution> speeds{}; // By service.
     time_point speeds_estimated_at{};
     std::map<std::string, service_demand> demand{}; // By service.
     /// Services for which the last pass has left work waiting for room.
--- a/modules/fleet/include/celerylift/fleet/server_speed.hpp
+++ b/modules/fleet/include/celerylift/fleet/server_speed.hpp
@@ -4,12 +4,12 @@
 #include <cstddef>
 #include <vector>
 
-/// Answers the load of a service whose servers run at persistently different
-/// speeds although nothing reports it: gangs are as slow as their slowest
-/// member, and urgent work has less slack than the servers differ by.
+/// Addresses services whose servers run at persistently different speeds that
+/// nothing reports: gangs are as slow as their slowest member, and urgent work
+/// has less slack than the servers differ by.
 namespace celerylift::fleet {
 
-/// How long tasks take on a server beside the servers of its cell.
+/// How long tasks take on a server, relative to the servers of its service.
 struct speed_estimate {
     /// Natural logarithm of the factor: 0 for an average server, positive for
     /// a slow one.
@@ -34,7 +34,8 @@
 
 /// What is known of a step's work besides its runs.
 struct step_work {
-    std::size_t queue = 0;      // An index from 0 on.
+    std::size_t queue = 0; // An index from 0 on.
+    bool is_declared = false;
     double log_declared_ms = 0; // Natural logarithm of the declared run time.
 
     auto operator<=>(const step_work&) const = default;
@@ -53,7 +54,7 @@
 /// is reported in whole percents.
 double weight_of_progress(int percents);
 
-/// Whether an estimate that was received can be one: anything may arrive.
+/// Whether a received estimate is finite and within the range of real ones.
 bool is_plausible(const speed_estimate& estimate);
 
 /// Whether the speed of a server is known well enough to be acted on.
@@ -62,28 +63,35 @@
 /// Whether a server differs from the average by more than its tasks may.
 bool differs(const speed_estimate& estimate);
 
-/// What is known of the speeds of a cell's servers as a whole.
+/// What is known of the speeds of a service's servers as a whole.
 struct speed_distribution {
     /// Several servers differ. While false, speeds influence no decision.
     bool is_uneven = false;
     /// The standard deviation of the logarithm over the known servers.
     double log_spread = 0;
+    int known = 0;
+    int differing = 0;
 
     auto operator<=>(const speed_distribution&) const = default;
 };
 
-speed_distribution distribution_of(const std::vector<speed_estimate>& servers);
+/// `was_uneven` makes it take fewer differing servers to remain uneven.
+speed_distribution distribution_of(const std::vector<speed_estimate>& servers,
+                                   bool was_uneven = false);
+
+/// The factor that few servers of a service exceed.
+double slowest_expected(const speed_distribution& service);
 
 /// The factor that a server's run times are planned with. It includes the
 /// uncertainty of the estimate, so that a server of unknown speed ranks behind
-/// an average one. 1 while the cell is not uneven.
+/// an average one. 1 while the service is not uneven.
 double planned_slowness(const speed_estimate& estimate,
-                        const speed_distribution& cell);
+                        const speed_distribution& service);
 
-/// The expected factor of a server, without its uncertainty. 1 while the cell
-/// is not uneven.
+/// The expected factor of a server, without its uncertainty. 1 while the
+/// service is not uneven.
 double expected_slowness(const speed_estimate& estimate,
-                         const speed_distribution& cell);
+                         const speed_distribution& service);
 
 /// The class of servers that placement regards as equally fast.
 int speed_class(double slowness);
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -111,13 +111,16 @@
         server.usage.stale = true;
         server.lists_as_of_ms = 0;
         server.health = {};
+        server.cold_until = {};
         forget_speed(self, server);
-        inherit_speed(server, state.speed());
+        inherit_speed(self, server, state.speed());
         if (!server.state.incarnation().empty())
             note_restart(self, server);
     }
     server.state = state;
     server.history.draining = state.draining();
+    if (state.cold_left_ms() > 0)
+        server.cold_until = self.run.now() + duration{state.cold_left_ms()};
     server.labels.assign(state.labels().begin(), state.labels().end());
     const auto copy = server.assigned;
     for (const auto& [name, assigned] : copy) {
@@ -219,7 +222,7 @@
     self.jobs.clear();
     self.reservations.clear();
     self.timed_runs.clear();
-    self.speeds = {};
+    self.speeds.clear();
     self.speeds_estimated_at = {};
     self.demand.clear();
     self.next_share_events.clear();
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -86,12 +86,6 @@
            now <= server.last_report_at + max_report_age;
 }
 
-/// Whether a server is still slow after its start. Such a server is used like
-/// one that turned out to be slow.
-bool is_cold(const server& server, time_point now) {
-    return now < server.last_report_at + duration{server.state.cold_left_ms()};
-}
-
 /// Whether a server on probation has got its one task since its exclusion. The
 /// end of that task shows whether the server is healthy.
 bool has_probe_task(const server& server) {
@@ -104,6 +98,10 @@
 
 } // namespace
 
+bool is_cold(const server& server, time_point now) {
+    return now < server.cold_until;
+}
+
 bool is_out_of_service(const owner& self, const server& server) {
     return is_out_of_service(self.evacuations.state, server.failure_domain) &&
            !is_mutant("place-out-of-service");
@@ -134,6 +132,7 @@
         candidate.capacity = from_record(server.state.capacity());
         candidate.free = candidate.capacity;
         candidate.free -= server.usage.in_use;
+        // A cold server is used like one that turned out to be slow.
         candidate.health_score =
             is_degraded(server.health, now) || is_cold(server, now) ? 0.0 : 1.0;
         candidate.recently_healthy = is_recently_healthy(server.health, now);
@@ -147,8 +146,9 @@
         candidate.job_count = server.usage.occupancy.job_count;
         candidate.has_suspect = server.usage.occupancy.has_suspect;
         candidate.crash = server.usage.occupancy.crash;
-        candidate.slowness = planned_slowness(server.speed, self.speeds);
-        candidate.has_unknown_speed = self.speeds.is_uneven &&
+        const auto& speeds = speeds_of(self, server.state.service());
+        candidate.slowness = planned_slowness(server.speed, speeds);
+        candidate.has_unknown_speed = speeds.is_uneven &&
                                       !is_known(server.speed) &&
                                       !server.usage.measures_speed;
         auto& service = pass.services[candidate.service];
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -130,11 +130,18 @@
 void forget_speed(owner& self, server& server);
 
 /// Takes over the estimate that a former owner has left with the agent.
-void inherit_speed(server& server, const SpeedEstimate& kept);
+void inherit_speed(owner& self, server& server, const SpeedEstimate& kept);
 
 /// Estimates the speeds of all servers again, several times a second at most.
 void update_speeds(owner& self);
 
+/// What is known of the speeds of a service's servers as a whole.
+const speed_distribution& speeds_of(const owner& self,
+                                    const std::string& service);
+
+/// Whether a server is still slow after its start.
+bool is_cold(const server& server, time_point now);
+
 /// The factor by which a server, or the slowest one of a gang, is expected to
 /// take longer than an average server.
 double expected_slowness_of(const owner& self, const std::string& agent);
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -71,7 +71,8 @@
 /// its ends and its next start are written together. The servers keep the ends
 /// until then.
 void hold_write(owner& self, job& job) {
-    if (priority_of(self, job) == 0)
+    if (self.policy.avoid_risky_servers && queue_of(self, job) &&
+        priority_of(self, job) == 0)
         job.write_held_until = self.run.now() + max_write_hold;
 }
 
@@ -128,8 +129,11 @@
 
 void handle_success(owner& self, server& server, job& job, task& task,
                     int run) {
+    // Success resets the server's health, which tells whether the run may be
+    // counted.
+    if (run == task.run)
+        update_run_time_estimate(self, server, job, task);
     record_success(server.health, self.run.now());
-    update_run_time_estimate(self, server, job, task);
     if (step_of(job, task.name).lasting())
         return return_to_waiting(self, task);
     if (!step_of(job, task.name).gang())
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -1,7 +1,6 @@
 #include "owner_internal.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace celerylift::fleet {
@@ -24,6 +23,11 @@
 /// server then costs it no more than the wait.
 constexpr duration max_urgent_wait_for_speed{800};
 
+/// Stops mostly take some hundred milliseconds. The work that is planned for
+/// after them has that much less time, and needs faster servers.
+constexpr duration expected_stop_time{400};
+constexpr double limit_share_after_stops = 0.85;
+
 /// Batch work keeps off the emptiest rack until it has waited for this share of
 /// its expected run time. Its objective is several times that run time. Urgent
 /// work that finds free capacity there need not preempt, and the delay of a
@@ -74,16 +78,17 @@
 void prefer_speeds(const owner& self, const job& job,
                    const occurrence& occurrence, int step,
                    placement_request& request) {
-    if (!self.speeds.is_uneven)
+    const auto& speeds = speeds_of(self, request.service);
+    if (!speeds.is_uneven)
         return;
     const bool is_urgent = priority_of(self, job) == 0;
     request.by_speed =
         is_urgent ? speed_order::fastest_first : speed_order::slowest_first;
     request.slowness_limit = slowness_limit_of(self, job, occurrence);
     const auto& spec = job.submission.steps(step);
-    request.explores_speeds =
-        !is_urgent && !spec.gang() && !spec.lasting() && !spec.filling() &&
-        request.slowness_limit > std::exp(2 * self.speeds.log_spread);
+    request.explores_speeds = !is_urgent && !spec.gang() && !spec.lasting() &&
+                              !spec.filling() &&
+                              request.slowness_limit > slowest_expected(speeds);
 }
 
 placement_request request_for(const owner& self, const job& job,
@@ -299,7 +304,10 @@
     auto& server = *pass.servers[index];
     ++pass.tasks_placed;
     add_occupant(pass.candidates[index], job, task);
-    pass.candidates[index].free -= need_of(step_of(job, task.name));
+    const auto& step = step_of(job, task.name);
+    pass.candidates[index].free -= need_of(step);
+    if (tells_speed(server, step))
+        pass.candidates[index].has_unknown_speed = false;
     if (pass.candidates[index].on_probation)
         pass.candidates[index].free = {};
     if (pass.urgent_accelerators && priority_of(self, job) == 0)
@@ -394,18 +402,26 @@
         return {};
     request.within_limit_only = true;
     auto chosen = place(candidates, request);
-    if (chosen.empty() && !request.needs_own_servers &&
-        !has_reservation(self, unit))
-        reclaim(self, pass, job, occurrence, unit.step, request);
-    return chosen;
+    if (!chosen.empty() || request.needs_own_servers ||
+        has_reservation(self, unit) ||
+        waiting_time(self, first) + expected_stop_time >
+            max_urgent_wait_for_speed)
+        return chosen;
+    request.slowness_limit *= limit_share_after_stops;
+    reclaim(self, pass, job, occurrence, unit.step, request);
+    return {};
 }
 
 /// Whether fast servers are being freed for an urgent gang. Until they are, it
 /// does not take slower ones.
 bool is_reclaiming(const owner& self, const waiting_unit& unit,
                    const placement_request& request, const task& first) {
-    return has_reservation(self, unit) &&
-           insists_on_speed(self, request, first);
+    return insists_on_speed(self, request, first) &&
+           std::ranges::any_of(self.reservations,
+                               [&](const reservation& reservation) {
+                                   return reservation.on_fast_servers &&
+                                          is_for(reservation, unit);
+                               });
 }
 
 void place_gang(owner& self, schedule_pass& pass, job& job,
--- a/modules/fleet/src/owner_progress.cpp
+++ b/modules/fleet/src/owner_progress.cpp
@@ -128,7 +128,8 @@
 
 void check_stall(owner& self, server& server, job& job, task& task,
                  std::int64_t stalled_ms) {
-    if (task.percent >= 100 || stalled_ms < max_stall_ms(self, job, task))
+    if (task.percent >= 100 || stalled_ms < min_stall_ms ||
+        stalled_ms < max_stall_ms(self, job, task))
         return;
     ++task.stalls;
     task.avoid_agent = task.agent;
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -81,18 +81,32 @@
 /// still in time if it is stopped now: once to run again, and as long to wait.
 constexpr double affordable_time_factor = 2.0;
 
-/// Whether a job that loses the progress of its current step can still earn its
-/// payoff in full. Matters only where urgent work needs servers of a certain
-/// speed: the job keeps its objective, and the urgent one is in time.
-bool can_afford_stop(const owner& self, const job& job, const task& task) {
-    if (!self.speeds.is_uneven)
+/// Weight of the work that a job loses which can still be in time. Its caller
+/// does not notice the loss, but the capacity is spent.
+constexpr double affordable_loss_weight = 0.1;
+
+/// Whether jobs can still be in time if they lose the progress of their current
+/// steps, by occurrence.
+using affordable_stops = std::map<std::pair<std::string, int>, bool>;
+
+/// Matters only where urgent work needs servers of a certain speed: the stopped
+/// job keeps its objective, and the urgent one is in time.
+bool can_afford_stop(const owner& self, const job& job, const task& task,
+                     affordable_stops& cache) {
+    const auto* queue = queue_of(self, job);
+    if (!queue || !speeds_of(self, queue->service).is_uneven)
         return false;
+    const auto [it, added] =
+        cache.try_emplace({task.name.job, task.name.occurrence});
+    if (!added)
+        return it->second;
     const auto occurrence = std::ranges::find(
         job.occurrences, task.name.occurrence, &occurrence::number);
     const auto factor = occurrence == job.occurrences.end()
                             ? no_slowness_limit
                             : slowness_limit_of(self, job, *occurrence);
-    return factor < no_slowness_limit && factor >= affordable_time_factor;
+    it->second = factor < no_slowness_limit && factor >= affordable_time_factor;
+    return it->second;
 }
 
 /// Preemption costs of gangs, by step. The members of a gang end together, so
@@ -116,6 +130,7 @@
     pass.preemptible.resize(pass.candidates.size());
     pass.being_freed.assign(pass.candidates.size(), {});
     gang_costs cache;
+    affordable_stops affordable;
     for (std::size_t i = 0; i < pass.servers.size(); ++i) {
         for (const auto& [name, assigned] : pass.servers[i]->assigned) {
             const auto& task = *assigned.task_ref;
@@ -129,7 +144,8 @@
                     {name, need,
                      cached_preemption_cost(self, *assigned.job_ref, task,
                                             cache),
-                     can_afford_stop(self, *assigned.job_ref, task)});
+                     can_afford_stop(self, *assigned.job_ref, task,
+                                     affordable)});
         }
         std::ranges::sort(pass.preemptible[i], {},
                           &preemption_candidate::lost_core_seconds);
@@ -148,8 +164,6 @@
     std::vector<std::string> agents;
     std::vector<task_name> stops;
     double cost = 0;
-    /// The part of the cost that makes jobs late.
-    double late_cost = 0;
     int risk = 0; // Sum of the risk classes, by task.
 };
 
@@ -193,8 +207,6 @@
         for (std::size_t i = 0; i < best_need.first; ++i) {
             best->candidate.free += best->preemptible[i].freed;
             result.stops.push_back(best->preemptible[i].name);
-            if (!best->preemptible[i].is_affordable)
-                result.late_cost += best->preemptible[i].lost_core_seconds;
         }
         best->preemptible.erase(
             best->preemptible.begin(),
@@ -214,6 +226,15 @@
     return request.prefer_low_risk ? plan.risk : 0;
 }
 
+void discount_affordable_losses(
+    std::vector<preemption_candidate>& preemptible) {
+    for (auto& candidate : preemptible)
+        if (candidate.is_affordable)
+            candidate.lost_core_seconds *= affordable_loss_weight;
+    std::ranges::sort(preemptible, {},
+                      &preemption_candidate::lost_core_seconds);
+}
+
 std::vector<server_plan> servers_to_preempt_on(const owner& self,
                                                schedule_pass& pass,
                                                const placement_request& request,
@@ -231,6 +252,8 @@
             continue;
         candidates[i].free += pass.being_freed[i];
         servers.push_back({candidates[i], pass.preemptible[i]});
+        if (request.within_limit_only)
+            discount_affordable_losses(servers.back().preemptible);
     }
     // Of servers with equal costs a plan uses the first ones.
     if (request.prefer_low_risk)
@@ -274,14 +297,15 @@
 std::optional<preemption_plan> safest_plan(const owner& self,
                                            schedule_pass& pass,
                                            const placement_request& request,
-                                           int priority) {
+                                           int priority, bool guaranteed) {
     auto cheapest = cheapest_plan(self, pass, request, priority);
     if (!cheapest || risk_of(*cheapest, request) == 0)
         return cheapest;
     auto safe = cheapest_plan(self, pass, request, priority, no_risk);
     const bool may_use_safe =
-        safe && safe->cost <=
-                    cheapest->cost + loss_by_restart * core_seconds_of(request);
+        safe && (guaranteed || safe->cost <= max_lost_core_seconds) &&
+        safe->cost <=
+            cheapest->cost + loss_by_restart * core_seconds_of(request);
     return may_use_safe ? safe : cheapest;
 }
 
@@ -313,18 +337,18 @@
 /// is more than a slow one costs.
 std::optional<preemption_plan> find_plan(const owner& self, schedule_pass& pass,
                                          const placement_request& request,
-                                         int priority) {
+                                         int priority, bool guaranteed) {
     auto relaxed = request;
-    auto found = safest_plan(self, pass, relaxed, priority);
+    auto found = safest_plan(self, pass, relaxed, priority, guaranteed);
     if (request.within_limit_only)
         return found;
     if (!found && relaxed.same_rack) {
         relaxed.same_rack = false;
-        found = safest_plan(self, pass, relaxed, priority);
+        found = safest_plan(self, pass, relaxed, priority, guaranteed);
     }
     if (!found && relaxed.healthy_only) {
         relaxed.healthy_only = false;
-        found = safest_plan(self, pass, relaxed, priority);
+        found = safest_plan(self, pass, relaxed, priority, guaranteed);
     }
     return found;
 }
@@ -361,13 +385,10 @@
         return false;
     if (is_known_to_fail(pass, request))
         return false;
-    const auto found = find_plan(self, pass, request, priority);
+    const auto found = find_plan(self, pass, request, priority, guaranteed);
     if (!found)
         pass.failed_reclaims.push_back(request);
-    const auto counted_cost = [&] {
-        return request.within_limit_only ? found->late_cost : found->cost;
-    };
-    if (!found || (!guaranteed && counted_cost() > max_lost_core_seconds))
+    if (!found || (!guaranteed && found->cost > max_lost_core_seconds))
         return false;
     self.run.journal.event(
         "room_reclaimed",
@@ -386,7 +407,8 @@
          request.each,
          self.run.now() + preemption_reservation_lifetime,
          priority,
-         {}});
+         {},
+         request.within_limit_only});
     pass.preemptible.clear();
     for (const auto& name : found->stops) {
         auto& preempted_job = self.jobs.at(name.job);
--- a/modules/fleet/src/owner_schedule.cpp
+++ b/modules/fleet/src/owner_schedule.cpp
@@ -175,7 +175,8 @@
     auto units = waiting_units(self);
     if (units.empty())
         return clear_shares(self);
-    update_speeds(self);
+    if (self.speeds_estimated_at == time_point{})
+        update_speeds(self);
     auto pass = begin_pass(self);
     order_units(self, pass, units);
     const bool urgent_only = batch_work_waits(self);
--- a/modules/fleet/src/owner_speeds.cpp
+++ b/modules/fleet/src/owner_speeds.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <utility>
 
 namespace celerylift::fleet {
 
@@ -16,12 +17,22 @@
 
 constexpr duration estimate_period{300};
 
-/// Complete runs that are kept for each server, on average.
+/// An inherited estimate counts for no more runs than this, so that the own
+/// runs soon outweigh it.
+constexpr double max_inherited_weight = 4;
+
+/// Complete runs that are kept for each server, on average. Four are enough to
+/// tell speeds apart; twice that bridges times without independent tasks.
 constexpr std::size_t runs_kept_per_server = 8;
 
 /// Progress below this many percent tells too little.
 constexpr int min_projected_percents = 5;
 
+double log_ms(duration time) {
+    return std::log(
+        static_cast<double>(std::max<std::int64_t>(1, time.count())));
+}
+
 task_name step_name(task_name name) {
     name.index = 0;
     return name;
@@ -45,11 +56,9 @@
             step_numbers.try_emplace(run.step, steps.size());
         if (added)
             steps.push_back(
-                {queue, std::log(static_cast<double>(
-                            std::max<std::int64_t>(1, run.declared.count())))});
-        samples.push_back({server->second, step->second,
-                           std::log(static_cast<double>(run.ran.count())),
-                           weight});
+                {queue, run.declared > duration{0}, log_ms(run.declared)});
+        samples.push_back(
+            {server->second, step->second, log_ms(run.ran), weight});
     }
 };
 
@@ -81,27 +90,34 @@
     for (const auto& run : self.timed_runs)
         samples.add(run, 1.0);
     for (const auto& [agent, server] : self.servers)
-        if (!is_degraded(server.health, self.run.now()))
+        if (!is_degraded(server.health, self.run.now()) &&
+            !is_cold(server, self.run.now()))
             add_projected_runs(server, samples);
     return samples;
 }
 
-void report_speeds(owner& self, bool was_uneven) {
+using speeds_by_service = std::map<std::string, speed_distribution>;
+
+void report_speeds(owner& self, const speeds_by_service& before) {
     int known = 0;
     int differing = 0;
-    for (const auto& [agent, server] : self.servers) {
-        known += is_known(server.speed) ? 1 : 0;
-        differing += differs(server.speed) ? 1 : 0;
+    for (const auto& [service, speeds] : self.speeds) {
+        known += speeds.known;
+        differing += speeds.differing;
+        const auto earlier = before.find(service);
+        const bool was_uneven =
+            earlier != before.end() && earlier->second.is_uneven;
+        if (speeds.is_uneven != was_uneven)
+            self.run.journal.event(
+                speeds.is_uneven ? "servers_uneven" : "servers_even",
+                {{"service", service},
+                 {"known", speeds.known},
+                 {"differing", speeds.differing},
+                 {"spread_percent",
+                  static_cast<int>(100 * speeds.log_spread)}});
     }
     self.run.metrics.gauge("servers_of_known_speed", known);
     self.run.metrics.gauge("servers_of_other_speed", differing);
-    if (self.speeds.is_uneven != was_uneven)
-        self.run.journal.event(
-            self.speeds.is_uneven ? "servers_uneven" : "servers_even",
-            {{"known", known},
-             {"differing", differing},
-             {"spread_percent",
-              static_cast<int>(100 * self.speeds.log_spread)}});
 }
 
 /// Logs a server's speed once it is known, and when it begins or ceases to
@@ -129,7 +145,8 @@
     // about the speed that it has otherwise.
     if (!self.policy.use_server_speeds ||
         !tells_speed(server, step_of(job, task.name)) ||
-        server.health.degraded_until > task.assigned_at)
+        server.health.degraded_until > task.assigned_at ||
+        server.cold_until > task.assigned_at)
         return;
     self.timed_runs.push_back(run_of(job, task, ran));
     while (self.timed_runs.size() > runs_kept_per_server * self.servers.size())
@@ -137,19 +154,22 @@
 }
 
 void forget_speed(owner& self, server& server) {
-    server.speed = {};
     server.inherited_speed = {};
+    if (std::exchange(server.speed, {}).weight == 0)
+        return;
     std::erase_if(self.timed_runs, [&](const timed_run& run) {
         return run.agent == server.agent;
     });
 }
 
-void inherit_speed(server& server, const SpeedEstimate& kept) {
-    const speed_estimate estimate{kept.log_slowness(), kept.weight()};
-    if (!is_plausible(estimate))
+void inherit_speed(owner& self, server& server, const SpeedEstimate& kept) {
+    speed_estimate estimate{kept.log_slowness(), kept.weight()};
+    if (!self.policy.use_server_speeds || !is_plausible(estimate))
         return;
+    estimate.weight = std::min(estimate.weight, max_inherited_weight);
     server.inherited_speed = estimate;
     server.speed = estimate;
+    self.speeds_estimated_at = {}; // The next pass uses it.
 }
 
 void update_speeds(owner& self) {
@@ -169,16 +189,31 @@
         log_speed(self, server, estimate);
         server.speed = estimate;
     }
-    const bool was_uneven = self.speeds.is_uneven;
-    self.speeds = distribution_of(estimates);
-    report_speeds(self, was_uneven);
+    std::map<std::string, std::vector<speed_estimate>> by_service;
+    for (const auto& [agent, server] : self.servers)
+        by_service[server.state.service()].push_back(server.speed);
+    const auto before = std::exchange(self.speeds, {});
+    for (const auto& [service, known] : by_service) {
+        const auto earlier = before.find(service);
+        self.speeds[service] = distribution_of(
+            known, earlier != before.end() && earlier->second.is_uneven);
+    }
+    report_speeds(self, before);
+}
+
+const speed_distribution& speeds_of(const owner& self,
+                                    const std::string& service) {
+    static const speed_distribution unknown;
+    const auto it = self.speeds.find(service);
+    return it == self.speeds.end() ? unknown : it->second;
 }
 
 double expected_slowness_of(const owner& self, const std::string& agent) {
     const auto it = self.servers.find(agent);
     return it == self.servers.end()
                ? 1.0
-               : expected_slowness(it->second.speed, self.speeds);
+               : expected_slowness(it->second.speed,
+                                   speeds_of(self, it->second.state.service()));
 }
 
 double expected_pace(const owner& self, const job& job, const task& task) {
@@ -194,10 +229,10 @@
 
 double urgent_slowness_limit(const owner& self) {
     auto limit = no_slowness_limit;
-    if (!self.speeds.is_uneven || !self.config)
+    if (!self.config)
         return limit;
     for (const auto& queue : self.config->queues)
-        if (queue.priority == 0)
+        if (queue.priority == 0 && speeds_of(self, queue.service).is_uneven)
             limit = std::min(limit, std::max(1.0, queue.stretch));
     return limit;
 }
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -262,7 +262,8 @@
         server.granted_until =
             std::max(server.granted_until, end_of_grant(server.last_report_at));
     }
-    if (self.speeds.is_uneven && server.speed.weight > 0) {
+    if (server.speed.weight > 0 &&
+        speeds_of(self, server.state.service()).is_uneven) {
         orders.mutable_speed()->set_log_slowness(server.speed.log_slowness);
         orders.mutable_speed()->set_weight(server.speed.weight);
     }
--- a/modules/fleet/src/server_speed.cpp
+++ b/modules/fleet/src/server_speed.cpp
@@ -24,12 +24,13 @@
 /// Deviations beyond this count less: the run was slow for another reason.
 constexpr double max_trusted_deviation = 0.4;
 
+/// More change the estimates by less than a percent.
 constexpr int iterations = 25;
 
 /// Estimates of a weight above this stay open to change.
 constexpr double max_weight = 20;
 
-/// Servers that differ by more than this factor of e^3 are not slow, but fail.
+/// A factor of 20. Runs that take longer are stopped because they stall.
 constexpr double max_log_slowness = 3;
 
 /// Two complete runs tell a server from one that is 1.5 times as fast.
@@ -38,9 +39,14 @@
 /// What servers may differ by without being treated differently, as a
 /// logarithm. Less does not decide whether work is in time.
 constexpr double ignored_difference = 0.2;
+
+/// A service is uneven if at least this many servers differ, and this share of
+/// the known ones: of many servers, a few seem to differ by chance.
 constexpr int min_differing_servers = 2;
+constexpr double min_differing_share = 0.05;
 
-/// How many standard deviations a planned run time lies above the expected one.
+/// How many standard deviations a planned run time lies above the expected one:
+/// about nine servers of ten are no slower than planned.
 constexpr double planned_deviations = 1.2;
 
 /// Width of a class of speeds, as a logarithm. Narrower ones would spread work
@@ -55,7 +61,7 @@
 struct joint_estimate {
     std::vector<double> log_slowness; // By server.
     std::vector<double> log_work;     // By step.
-    std::vector<double> queue_bias;   // Work beside its declared time.
+    std::vector<double> queue_bias;   // Log of work to declared time.
     std::vector<double> queue_deviation;
 };
 
@@ -80,8 +86,10 @@
                   const std::vector<step_work>& steps, joint_estimate& joint) {
     std::vector<mean> work(steps.size());
     for (std::size_t i = 0; i < steps.size(); ++i)
-        work[i].add(steps[i].log_declared_ms + joint.queue_bias[steps[i].queue],
-                    1 / square(joint.queue_deviation[steps[i].queue]));
+        if (steps[i].is_declared)
+            work[i].add(steps[i].log_declared_ms +
+                            joint.queue_bias[steps[i].queue],
+                        1 / square(joint.queue_deviation[steps[i].queue]));
     for (const auto& sample : samples) {
         const auto log_work =
             sample.log_run_time - joint.log_slowness[sample.server];
@@ -98,13 +106,15 @@
     std::vector<mean> bias(joint.queue_bias.size());
     std::vector<mean> variance(joint.queue_bias.size());
     for (std::size_t i = 0; i < steps.size(); ++i)
-        bias[steps[i].queue].add(joint.log_work[i] - steps[i].log_declared_ms,
-                                 1);
+        if (steps[i].is_declared)
+            bias[steps[i].queue].add(
+                joint.log_work[i] - steps[i].log_declared_ms, 1);
     for (std::size_t i = 0; i < steps.size(); ++i)
-        variance[steps[i].queue].add(square(joint.log_work[i] -
-                                            steps[i].log_declared_ms -
-                                            bias[steps[i].queue].value()),
-                                     1);
+        if (steps[i].is_declared)
+            variance[steps[i].queue].add(square(joint.log_work[i] -
+                                                steps[i].log_declared_ms -
+                                                bias[steps[i].queue].value()),
+                                         1);
     for (std::size_t queue = 0; queue < bias.size(); ++queue) {
         joint.queue_bias[queue] = bias[queue].value();
         if (variance[queue].weight >= min_steps_for_deviation)
@@ -159,11 +169,17 @@
         improve_queues(steps, joint);
         improve_speeds(samples, earlier, joint);
     }
+    std::vector<double> step_weights(steps.size());
+    for (const auto& sample : samples)
+        step_weights[sample.step] += sample.weight;
     std::vector<speed_estimate> result(earlier.size());
     for (std::size_t i = 0; i < earlier.size(); ++i)
         result[i] = {joint.log_slowness[i], earlier[i].weight};
-    for (const auto& sample : samples)
-        result[sample.server].weight += sample.weight;
+    // A run counts by what the other runs of its step tell about the work.
+    for (const auto& sample : samples) {
+        const auto others = step_weights[sample.step] - sample.weight;
+        result[sample.server].weight += sample.weight * others / (others + 1);
+    }
     for (auto& estimate : result)
         estimate.weight = std::min(estimate.weight, max_weight);
     return result;
@@ -192,31 +208,42 @@
                ignored_difference + 2 * deviation_of(estimate);
 }
 
-speed_distribution distribution_of(const std::vector<speed_estimate>& servers) {
+speed_distribution distribution_of(const std::vector<speed_estimate>& servers,
+                                   bool was_uneven) {
     mean variance;
+    int known = 0;
     int differing = 0;
     for (const auto& server : servers) {
         if (!is_known(server))
             continue;
         variance.add(square(server.log_slowness), 1);
+        ++known;
         differing += differs(server) ? 1 : 0;
     }
-    return {differing >= min_differing_servers, std::sqrt(variance.value())};
+    const int needed =
+        std::max(min_differing_servers,
+                 static_cast<int>(std::ceil(min_differing_share * known)));
+    return {differing >= (was_uneven ? needed / 2 : needed),
+            std::sqrt(variance.value()), known, differing};
+}
+
+double slowest_expected(const speed_distribution& service) {
+    return std::exp(2 * service.log_spread);
 }
 
 double planned_slowness(const speed_estimate& estimate,
-                        const speed_distribution& cell) {
-    if (!cell.is_uneven)
+                        const speed_distribution& service) {
+    if (!service.is_uneven)
         return 1.0;
     const auto deviation =
-        1 / std::sqrt(1 / square(cell.log_spread) +
+        1 / std::sqrt(1 / square(service.log_spread) +
                       estimate.weight / square(task_deviation));
     return std::exp(estimate.log_slowness + planned_deviations * deviation);
 }
 
 double expected_slowness(const speed_estimate& estimate,
-                         const speed_distribution& cell) {
-    return cell.is_uneven ? std::exp(estimate.log_slowness) : 1.0;
+                         const speed_distribution& service) {
+    return service.is_uneven ? std::exp(estimate.log_slowness) : 1.0;
 }
 
 int speed_class(double slowness) {
--- a/tests/fleet/server_speed_test.cpp
+++ b/tests/fleet/server_speed_test.cpp
@@ -37,7 +37,7 @@
             samples.push_back(
                 {server, steps.size(),
                  std::log(work_ms * task(random) * slowness[server]), 1.0});
-        steps.push_back({0, std::log(work_ms * declared(random))});
+        steps.push_back({0, true, std::log(work_ms * declared(random))});
     }
 
     std::vector<speed_estimate> estimate() const {
@@ -135,6 +135,25 @@
     }
 }
 
+TEST(server_speeds, of_many_servers_and_small_steps_are_not_told_apart) {
+    uneven_service service(std::vector<double>(560, 1.0), 5);
+    std::uniform_int_distribution<std::size_t> any(0, 559);
+    for (int n = 0; n < 1400; ++n)
+        service.run_step({any(service.random), any(service.random)}, 7000);
+    EXPECT_FALSE(distribution_of(service.estimate()).is_uneven);
+}
+
+TEST(server_speeds, of_steps_without_declared_time_come_from_their_runs) {
+    uneven_service service(three_speeds, 2);
+    for (int n = 0; n < 4; ++n)
+        service.run_step(range(0, 12), 5000);
+    for (auto& step : service.steps)
+        step = {0, false, 0};
+    const auto found = service.estimate();
+    EXPECT_GT(found[2].log_slowness, found[1].log_slowness + 0.3);
+    EXPECT_LT(found[0].log_slowness, found[1].log_slowness - 0.3);
+}
+
 TEST(server_speeds, that_are_unknown_rank_between_average_and_slow_ones) {
     const fleet::speed_distribution cell{true, 0.42};
     const auto planned = [&](double slowness, double weight) {
@@ -247,6 +266,17 @@
 
 // ---- What outlives an owner ----
 
+TEST(kept_speeds, are_used_by_the_first_pass_of_a_new_owner) {
+    uneven_owner cell;
+    cell.run_for(duration{1000});
+    cell.take_over();
+    cell.add_job("urgent", "urgent", 8, whole_server, true, true);
+    cell.run_for(duration{100});
+    const auto used = cell.servers_of("urgent");
+    ASSERT_EQ(used.size(), 8U);
+    EXPECT_TRUE(std::ranges::none_of(used, is_slow));
+}
+
 TEST(kept_speeds, end_with_the_incarnation_of_the_server) {
     virtual_fleet fleet;
     fleet.configure(1);
