--- a/tools/day_losses.py
+++ b/tools/day_losses.py
@@ -8,7 +8,8 @@
 LOG holds the entries' journal lines, each with any prefix; a prefix that is a
 number is taken as the time in seconds. SHAPE is a part of a step as the event
 job_stored shows it, such as 3700m; a job is late if it takes longer than
-STRETCH times its run time plus ALLOWANCE_MS. --jobs lists each lost or late job.
+STRETCH times its run time plus ALLOWANCE_MS. Run times are taken as they would
+be on an average server, by the events server_speed. --jobs lists each lost or late job.
 
 Prints causes with their number and one job's id each, the use of the servers
 over time, and a bound by relaxation: all servers taken as one pool, each job
@@ -31,6 +32,7 @@
     steps: str
     estimate_ms: int
     assigned: dict = dataclasses.field(default_factory=dict)  # First, by run.
+    agents: dict = dataclasses.field(default_factory=dict)  # Sets, by run.
     causes: set = dataclasses.field(default_factory=set)
     done_at: float = None
     cancelled: bool = False
@@ -85,6 +87,7 @@
     kind = event["event"]
     if kind == "task_assigned":
         job.assigned.setdefault(event["run"], event["at"])
+        job.agents.setdefault(event["run"], set()).add(event["agent"])
     elif kind == "job_completed":
         job.done_at = event["at"]
     elif kind == "job_cancelled":
@@ -97,8 +100,11 @@
 
 
 def collect(events):
-    """Jobs by id, refused submissions by answer, and the runs' time spans."""
+    """Jobs by id, refused submissions by answer, the runs' time spans, when
+    servers were first seen, and their speeds: the factor by which tasks take
+    longer there, as the owner knew it last."""
     jobs, refused, spans, open_runs = {}, {}, [], {}
+    slowness = {}
     servers = collections.OrderedDict()
     for event in events:
         kind = event["event"]
@@ -112,6 +118,8 @@
                 refused[event["job"]] = event["message"]
         elif kind == "server_seen":
             servers.setdefault(event["agent"], event["at"])
+        elif kind == "server_speed":
+            slowness[event["agent"]] = event["slowness_percent"] / 100
         elif kind == "task_assigned":
             open_runs[event["task"]] = event["at"]
         elif kind in ("run_ended", "run_lost") and event["task"] in open_runs:
@@ -120,7 +128,7 @@
         if job_of(event) in jobs:
             follow(jobs[job_of(event)], event)
     refused = {id: why for id, why in refused.items() if id not in jobs}
-    return jobs, refused, spans, servers
+    return jobs, refused, spans, servers, slowness
 
 
 def objective_ms(job, objectives, run_ms):
@@ -130,7 +138,13 @@
     return None
 
 
-def classify(job, objectives):
+def pace_of(job, slowness):
+    """The factor by which the servers of the last run made it longer."""
+    agents = job.agents.get(max(job.assigned), ())
+    return max((slowness.get(agent, 1.0) for agent in agents), default=1.0)
+
+
+def classify(job, objectives, slowness):
     """The cause for which a job earned less than it could; None if none."""
     if job.cancelled:
         return None
@@ -147,9 +161,13 @@
     if not job.assigned:
         return None
     run_ms = 1000 * (job.done_at - job.assigned[max(job.assigned)])
-    limit = objective_ms(job, objectives, run_ms)
-    if limit is None or 1000 * (job.done_at - job.stored_at) <= limit:
+    pace = pace_of(job, slowness)
+    limit = objective_ms(job, objectives, run_ms / pace)
+    took_ms = 1000 * (job.done_at - job.stored_at)
+    if limit is None or took_ms <= limit:
         return None
+    if took_ms - run_ms + run_ms / pace <= limit:
+        return "late: ran on slow servers"
     return f"late: {causes}"
 
 
@@ -213,7 +231,7 @@
     for text in args.objective:
         shape, numbers = text.split("=")
         objectives[shape] = tuple(float(n) for n in numbers.split(","))
-    jobs, refused, spans, servers = collect(read_events(args.log))
+    jobs, refused, spans, servers, slowness = collect(read_events(args.log))
     if not jobs:
         sys.exit(f"{args.log}: no event job_stored; give the entries' log")
     until = args.until or max(end for _, _, end in spans)
@@ -221,7 +239,7 @@
     for id, why in refused.items():
         causes[f"refused: {why}"].append(id)
     for id, job in jobs.items():
-        cause = classify(job, objectives)
+        cause = classify(job, objectives, slowness)
         if cause:
             causes[cause].append(id)
             if args.jobs:
