Use the servers that were freed for an urgent gang

Large gangs (8 whole servers) waited up to 6 s, because a plan for them cost more than the 600 core-seconds that any urgent gang may cost, whatever its own size.

Change: a reservation keeps the limit that it was made with, and for servers of a certain speed a gang may cost as much work as it does itself. Nothing changes while servers are even.

--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -126,9 +126,9 @@
     /// that is expected to end before `ready_at`.
     int priority = 0;
     time_point ready_at{};
-    /// For an urgent gang, on servers that are fast enough for it to be in
+    /// For an urgent gang on servers up to this slowness, on which it can be in
     /// time.
-    bool on_fast_servers = false;
+    double slowness_limit = no_slowness_limit;
 };
 
 /// How long the recent runs of a queue's tasks have taken.
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -24,7 +24,8 @@
 constexpr duration max_urgent_wait_for_speed{800};
 
 /// Stops mostly take some hundred milliseconds. The work that is planned for
-/// after them has that much less time, and needs faster servers.
+/// after them has that much less time, and needs faster servers. Those that are
+/// freed for it are used even if the estimates have changed meanwhile.
 constexpr duration expected_stop_time{400};
 constexpr double limit_share_after_stops = 0.85;
 
@@ -147,6 +148,18 @@
                                });
 }
 
+/// The reservation of a unit on servers that are being freed for it because
+/// they are fast enough, or null.
+const reservation* reservation_on_fast_servers(const owner& self,
+                                               const waiting_unit& unit) {
+    const auto it = std::ranges::find_if(
+        self.reservations, [&](const reservation& reservation) {
+            return reservation.slowness_limit < no_slowness_limit &&
+                   is_for(reservation, unit);
+        });
+    return it == self.reservations.end() ? nullptr : &*it;
+}
+
 duration waiting_time(const owner& self, const task& task) {
     return self.run.now() - task.waiting_since;
 }
@@ -401,6 +414,11 @@
     if (!insists_on_speed(self, request, first))
         return {};
     request.within_limit_only = true;
+    const auto* reserved = reservation_on_fast_servers(self, unit);
+    if (reserved)
+        request.slowness_limit =
+            std::max(request.slowness_limit,
+                     reserved->slowness_limit / limit_share_after_stops);
     auto chosen = place(candidates, request);
     if (!chosen.empty() || request.needs_own_servers ||
         has_reservation(self, unit) ||
@@ -417,11 +435,7 @@
 bool is_reclaiming(const owner& self, const waiting_unit& unit,
                    const placement_request& request, const task& first) {
     return insists_on_speed(self, request, first) &&
-           std::ranges::any_of(self.reservations,
-                               [&](const reservation& reservation) {
-                                   return reservation.on_fast_servers &&
-                                          is_for(reservation, unit);
-                               });
+           reservation_on_fast_servers(self, unit);
 }
 
 void place_gang(owner& self, schedule_pass& pass, job& job,
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -292,6 +292,14 @@
            std::chrono::duration<double>(request.expected_run).count();
 }
 
+/// How much work urgent work may preempt outside a guarantee. For servers of a
+/// certain speed, at least as much as it does itself.
+double max_loss_for(const placement_request& request) {
+    return request.within_limit_only
+               ? std::max(max_lost_core_seconds, core_seconds_of(request))
+               : max_lost_core_seconds;
+}
+
 /// The cheapest plan, or the cheapest one without risky servers if the
 /// difference is less than what a restart there may be expected to lose.
 std::optional<preemption_plan> safest_plan(const owner& self,
@@ -303,7 +311,7 @@
         return cheapest;
     auto safe = cheapest_plan(self, pass, request, priority, no_risk);
     const bool may_use_safe =
-        safe && (guaranteed || safe->cost <= max_lost_core_seconds) &&
+        safe && (guaranteed || safe->cost <= max_loss_for(request)) &&
         safe->cost <=
             cheapest->cost + loss_by_restart * core_seconds_of(request);
     return may_use_safe ? safe : cheapest;
@@ -388,7 +396,7 @@
     const auto found = find_plan(self, pass, request, priority, guaranteed);
     if (!found)
         pass.failed_reclaims.push_back(request);
-    if (!found || (!guaranteed && found->cost > max_lost_core_seconds))
+    if (!found || (!guaranteed && found->cost > max_loss_for(request)))
         return false;
     self.run.journal.event(
         "room_reclaimed",
@@ -408,7 +416,8 @@
          self.run.now() + preemption_reservation_lifetime,
          priority,
          {},
-         request.within_limit_only});
+         request.within_limit_only ? request.slowness_limit
+                                   : no_slowness_limit});
     pass.preemptible.clear();
     for (const auto& name : found->stops) {
         auto& preempted_job = self.jobs.at(name.job);
