--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -407,6 +407,9 @@
          {"stops", found->stops.size()},
          {"lost_core_s", static_cast<std::int64_t>(found->cost)}});
     self.run.metrics.count("reclaims_total");
+    auto slowness_limit = no_slowness_limit;
+    if (request.within_limit_only)
+        slowness_limit = request.slowness_limit;
     self.reservations.push_back(
         {job.submission.id(),
          occurrence.number,
@@ -416,8 +419,7 @@
          self.run.now() + preemption_reservation_lifetime,
          priority,
          {},
-         request.within_limit_only ? request.slowness_limit
-                                   : no_slowness_limit});
+         slowness_limit});
     pass.preemptible.clear();
     for (const auto& name : found->stops) {
         auto& preempted_job = self.jobs.at(name.job);
