--- a/modules/fleet/include/celerylift/fleet/entry_node.hpp
+++ b/modules/fleet/include/celerylift/fleet/entry_node.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <celerylift/fleet/accepted_limits.hpp>
 #include <celerylift/fleet/config.hpp>
+#include <celerylift/fleet/evacuation_follower.hpp>
 #include <celerylift/fleet/growing_timeout.hpp>
 #include <celerylift/fleet/job_api.hpp>
 #include <celerylift/fleet/leader_preference.hpp>
@@ -30,6 +32,11 @@
     scheduling_policy policy{};
     /// What large submissions on record may take together, in bytes.
     std::size_t max_large_bytes = 10UL * 1024 * 1024;
+    /// Prefix of the operators' requests to take failure domains out of
+    /// service. Empty: there are none.
+    std::string evacuation_prefix{};
+    /// What all jobs on record may take together.
+    accepted_limits limits = derive_accepted_limits(default_entry_memory_mb);
 };
 
 /// An owner that has not read all jobs within this time leaves the cell to an
@@ -76,7 +83,12 @@
     void abandon_late_takeover();
     std::optional<duration> own_claim_delay() const;
     void read_config();
+    void handle_evacuations();
+    void log_unknown_domains();
     void tick();
+    void show_totals();
+    void handle_load(const cell_load& load);
+    void send_load(const cell_load& load);
     void notify_entries(const std::vector<store_item>& items);
     void handle_notice(const Notice& notice);
     void serve_store_call(const std::string& entry, const StoreCall& call);
@@ -96,6 +108,12 @@
     watch_cache cell_cache_;
     watch_cache job_cache_;
     watch_cache config_cache_;
+    /// Nothing where such requests are not followed.
+    std::optional<evacuation_follower> evacuations_;
+    /// The domains out of service that the agents were last told.
+    std::set<std::string, std::less<>> announced_domains_;
+    /// Those that this entry has compared with the servers of the cell.
+    std::set<std::string, std::less<>> compared_domains_;
     entry_records entries_;
     std::uint64_t entries_version_ = 0; // Equal for equal lists.
     time_point entries_changed_at_{};
--- a/modules/fleet/include/celerylift/fleet/owner.hpp
+++ b/modules/fleet/include/celerylift/fleet/owner.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <celerylift/fleet/cell_load.hpp>
 #include <celerylift/fleet/config.hpp>
+#include <celerylift/fleet/domain_evacuation.hpp>
 #include <celerylift/fleet/growing_timeout.hpp>
 #include <celerylift/fleet/job_index.hpp>
 #include <celerylift/fleet/jobs.hpp>
@@ -10,6 +12,7 @@
 #include <celerylift/fleet/server_health.hpp>
 #include <celerylift/fleet/server_risk.hpp>
 #include <celerylift/fleet/server_speed.hpp>
+#include <celerylift/fleet/shape_mix.hpp>
 #include <celerylift/fleet/store.hpp>
 
 #include <fleet.pb.h>
@@ -19,8 +22,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace celerylift::fleet {
@@ -59,6 +64,7 @@
     /// False while the server lists a run whose task is not on record.
     bool all_runs_known = false;
     resources in_use;
+    std::vector<std::pair<std::string, resources>> by_organisation;
     server_occupancy occupancy;
     /// A run there will tell the server's speed.
     bool measures_speed = false;
@@ -101,6 +107,7 @@
     /// former owner has left with the agent.
     speed_estimate speed;
     speed_estimate inherited_speed;
+    time_point cold_until{}; // The server is slow after its start until then.
     /// Of the host. Kept when the server starts again, unlike its health.
     server_history history;
     int known_risk = no_risk; // Risk class at the last check.
@@ -119,6 +126,9 @@
     /// that is expected to end before `ready_at`.
     int priority = 0;
     time_point ready_at{};
+    /// For an urgent gang on servers up to this slowness, on which it can be in
+    /// time.
+    double slowness_limit = no_slowness_limit;
 };
 
 /// How long the recent runs of a queue's tasks have taken.
@@ -137,6 +147,23 @@
     duration ran{0};
 };
 
+/// The demand for a service. Kept in memory; a new owner rebuilds it from
+/// the jobs on record.
+struct service_demand {
+    shape_mix mix;
+    /// Of the latest pass. Empty unless it packs tasks by the mix.
+    shape_costs costs;
+    time_point next_event{};  // The earliest time of a further journal line.
+    time_point packs_until{}; // Since work has waited for room.
+};
+
+/// The load that this owner has published last.
+struct published_load {
+    std::optional<cell_load> published;
+    time_point published_at{};
+    time_point next_at{}; // When the load is computed again.
+};
+
 /// The state of the process that owns the cell. One owner at a time decides
 /// what runs where. A new owner rebuilds this state from the store and from
 /// the agents' reports.
@@ -146,7 +173,8 @@
     /// Whether this process certainly still owns the cell, by its lease.
     std::function<bool()> is_valid;
     std::function<void(const std::string& agent, const OwnerOrders&)> send;
-    /// Passes records that were just written on to this entry and the others.
+    /// Passes records that were just written on to this entry and the
+    /// others.
     std::function<void(const std::vector<store_item>&)> on_records_written;
 
     scheduling_policy policy{};
@@ -162,10 +190,21 @@
     std::map<std::string, job> jobs{};
     std::map<std::string, server> servers{};
     std::vector<reservation> reservations{};
+    /// The failure domains out of service. Kept while this process does not
+    /// own the cell.
+    evacuation_view evacuations{};
+    bool placement_suspended = false; // Because that view is not fresh.
     std::map<std::string, run_time_estimate> run_time_estimates{}; // By queue.
-    std::deque<timed_run> timed_runs{}; // The latest ones.
-    speed_distribution speeds{};
+    std::deque<timed_run> timed_runs{};                 // The latest ones.
+    std::map<std::string, speed_distribution> speeds{}; // By service.
     time_point speeds_estimated_at{};
+    std::map<std::string, service_demand> demand{}; // By service.
+    /// Services for which the last pass has left work waiting for room.
+    std::set<std::string> services_with_work_left{};
+    /// Dominant shares on display, by organisation.
+    std::map<std::string, double> shown_shares{};
+    /// The earliest times of further journal lines, by service.
+    std::map<std::string, time_point> next_share_events{};
     std::set<std::string> agents_to_update{};
     /// Jobs that may have tasks to place, and jobs whose record must be
     /// written.
@@ -178,28 +217,36 @@
 
     bool pass_scheduled = false;
     time_point earliest_pass_at{};
+
+    published_load load{};
+    /// Passes the load of the cell on to this entry and the others.
+    std::function<void(const cell_load&)> on_load{};
 };
 
-/// Takes over the cell. `index` must hold all records up to the revision of the
-/// epoch. Placement begins once all expected agents have reported, or after a
-/// short timeout.
+/// Takes over the cell. `index` must hold all records up to the revision of
+/// the epoch. Placement begins once all expected agents have reported, or
+/// after a short timeout.
 void activate(owner& self, std::int64_t epoch, const job_index& index,
               const std::set<std::string>& expected_agents);
 void deactivate(owner& self);
 
 void on_config(owner& self, std::shared_ptr<const fleet_config> config);
 
+/// Handles a new or confirmed view of the failure domains out of service.
+void on_evacuations(owner& self, const evacuation_view& view);
+
 /// Handles a job that was submitted or cancelled.
 void on_job_changed(owner& self, const stored_job& stored);
 
 void on_report(owner& self, const std::string& agent,
                const AgentReport& report);
 
-/// Handles timeouts and due occurrences. To be called about every 100 ms.
+/// Handles timeouts and due occurrences, and publishes the load. To be called
+/// about every 100 ms.
 void on_tick(owner& self);
 
-/// Writes the changed jobs, sends orders to the agents concerned, and schedules
-/// a pass over the waiting work.
+/// Writes the changed jobs, sends orders to the agents concerned, and
+/// schedules a pass over the waiting work.
 void process_changes(owner& self);
 
 /// Places all waiting work that fits now. Changes that arrive within a few
--- a/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
+++ b/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
@@ -34,6 +34,13 @@
     bool use_server_speeds = true;
     /// Urgent gangs keep off servers that have recently restarted or failed.
     bool avoid_risky_servers = true;
+    /// Where work waits for room, organisations that hold little of the
+    /// scarcest resource go first, then work with little time left.
+    bool share_by_scarcity = true;
+    /// Tasks are placed where they cost the least room for other tasks.
+    bool pack_by_mix = true;
+    /// Jobs that fit no server, or that could only end too late, are refused.
+    bool refuse_by_load = true;
 
     bool operator==(const scheduling_policy&) const = default;
 };
--- a/modules/fleet/src/entry_node.cpp
+++ b/modules/fleet/src/entry_node.cpp
@@ -37,6 +37,10 @@
 /// take over may be unable to reach the store.
 constexpr duration handover_retry_period{20'000};
 
+/// After a takeover an owner knows the failure domains of all servers once this
+/// has passed: heartbeats are up to 1.5 s apart.
+constexpr duration server_report_time{2500};
+
 /// A version that is equal in all entries that have the same list.
 std::uint64_t version_of(const entry_records& entries) {
     std::string text;
@@ -62,6 +66,8 @@
                   {[this](std::int64_t epoch) {
                        gained_epoch_ = epoch;
                        gained_at_ = run_.now();
+                       if (evacuations_)
+                           evacuations_->read_now();
                        try_activate();
                    },
                    [this] {
@@ -89,7 +95,8 @@
                [this] { return records_.outage(); },
                std::minstd_rand{static_cast<std::uint32_t>(
                    std::hash<std::string>{}(settings_.self.incarnation()))},
-               settings_.max_large_bytes},
+               settings_.max_large_bytes,
+               settings_.limits},
       cell_cache_(
           run, records_, std::string(cell_prefix), duration{0},
           [this](const store_change& change) { handle_cell_change(change); },
@@ -103,6 +110,14 @@
                         handle_config_change(change);
                     }) {
     std::erase(settings_.seed_entries, settings_.self.address());
+    if (!settings_.evacuation_prefix.empty())
+        evacuations_.emplace(run, records_, settings_.evacuation_prefix,
+                             [this] { handle_evacuations(); });
+    job_api_.refuse_by_load = settings_.policy.refuse_by_load;
+    owner_.on_load = [this](const cell_load& load) {
+        handle_load(load);
+        send_load(load);
+    };
 }
 
 bool entry_node::is_seed_entry(const std::string& address) const {
@@ -118,6 +133,8 @@
     cell_cache_.start();
     job_cache_.start();
     config_cache_.start();
+    if (evacuations_)
+        evacuations_->start();
     leadership_.start();
     run_.timers.every(run_.now(), owner_tick_period,
                       [this](time_point) { tick(); });
@@ -133,10 +150,21 @@
     deactivate(owner_);
 }
 
+void entry_node::show_totals() {
+    const auto& held = job_index_.accepted.all;
+    run_.metrics.gauge("accepted_jobs", static_cast<double>(held.jobs));
+    run_.metrics.gauge("accepted_tasks", static_cast<double>(held.tasks));
+    run_.metrics.gauge("accepted_bytes", static_cast<double>(held.bytes));
+}
+
 void entry_node::tick() {
     on_tick(owner_);
+    show_totals();
     try_activate();
     abandon_late_takeover();
+    if (evacuations_ && evacuations_->view().state.as_of < gained_epoch_)
+        evacuations_->read_now();
+    log_unknown_domains();
     std::erase_if(agents_, [this](const auto& a) {
         return run_.now() > a.second.last_message_at + agent_retention;
     });
@@ -284,6 +312,36 @@
                   });
 }
 
+void entry_node::handle_evacuations() {
+    const auto& view = evacuations_->view();
+    on_evacuations(owner_, view);
+    if (announced_domains_ == view.state.domains)
+        return;
+    announced_domains_ = view.state.domains;
+    std::erase_if(compared_domains_, [&](const std::string& domain) {
+        return !is_out_of_service(view.state, domain);
+    });
+    send_welcome_to_all();
+}
+
+/// Names requests for domains that have no server in this cell. They are
+/// respected nevertheless, since servers may appear there.
+void entry_node::log_unknown_domains() {
+    if (!evacuations_ || owner_.epoch == 0 ||
+        run_.now() < owner_.active_since + server_report_time)
+        return;
+    for (const auto& domain : evacuations_->view().state.domains) {
+        if (!compared_domains_.insert(domain).second ||
+            std::ranges::any_of(owner_.servers, [&](const auto& server) {
+                return server.second.failure_domain == domain;
+            }))
+            continue;
+        run_.journal.event("evacuation_request_ignored",
+                           {{"key", settings_.evacuation_prefix + domain},
+                            {"why", "no server is in this failure domain"}});
+    }
+}
+
 void entry_node::on_message(const std::string& from,
                             const FleetEnvelope& envelope) {
     if (envelope.has_notice())
@@ -292,6 +350,12 @@
         return records_.handle_reply(envelope.store_reply());
     if (envelope.has_store_call())
         return serve_store_call(from, envelope.store_call());
+    if (envelope.has_load())
+        return handle_load(from_record(envelope.load()));
+    // An entry of an earlier version takes a load for a message of an agent and
+    // answers it. An answer to that would be answered again.
+    if (envelope.has_welcome())
+        return;
     auto& known = agents_[from];
     known.last_message_at = run_.now();
     if (envelope.has_hello())
@@ -348,6 +412,19 @@
             job_cache_.observe({item.key(), item.value(), item.revision()});
 }
 
+void entry_node::handle_load(const cell_load& load) {
+    if (!apply_load(job_api_.load, load, run_.now()))
+        run_.metrics.count("loads_ignored_total");
+}
+
+void entry_node::send_load(const cell_load& load) {
+    FleetEnvelope envelope;
+    *envelope.mutable_load() = to_record(load);
+    for (const auto& [name, record] : entries_)
+        if (name != settings_.self.name())
+            peers_.send(record.address(), envelope);
+}
+
 void entry_node::serve_store_call(const std::string& entry,
                                   const StoreCall& call) {
     records_.serve(call, [this, entry](const StoreReply& reply) {
@@ -363,6 +440,12 @@
     welcome->set_owner_address(owner_record_.address());
     welcome->set_epoch(owner_revision_);
     welcome->set_entries_version(entries_version_);
+    if (evacuations_) {
+        const auto& state = evacuations_->view().state;
+        welcome->set_evacuations_as_of(state.as_of);
+        for (const auto& domain : state.domains)
+            welcome->add_evacuated_domains(domain);
+    }
     if (agents_[agent].entries_version != entries_version_)
         for (const auto& [name, record] : entries_)
             *welcome->add_entries() = record;
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -111,13 +111,16 @@
         server.usage.stale = true;
         server.lists_as_of_ms = 0;
         server.health = {};
+        server.cold_until = {};
         forget_speed(self, server);
-        inherit_speed(server, state.speed());
+        inherit_speed(self, server, state.speed());
         if (!server.state.incarnation().empty())
             note_restart(self, server);
     }
     server.state = state;
     server.history.draining = state.draining();
+    if (state.cold_left_ms() > 0)
+        server.cold_until = self.run.now() + duration{state.cold_left_ms()};
     server.labels.assign(state.labels().begin(), state.labels().end());
     const auto copy = server.assigned;
     for (const auto& [name, assigned] : copy) {
@@ -213,14 +216,19 @@
 }
 
 void clear_state(owner& self) {
+    self.load = {};
     self.servers.clear();
     self.restarts = {};
     self.jobs.clear();
     self.reservations.clear();
     self.timed_runs.clear();
-    self.speeds = {};
+    self.speeds.clear();
     self.speeds_estimated_at = {};
+    self.demand.clear();
+    self.next_share_events.clear();
+    clear_shares(self);
     self.agents_to_update.clear();
+    self.placement_suspended = false;
     self.waiting_jobs.clear();
     self.unwritten_jobs.clear();
 }
@@ -267,10 +275,21 @@
     self.config = std::move(config);
     if (self.epoch == 0)
         return;
+    rebuild_demand(self);
     fail_jobs_without_attempts_left(self);
     process_changes(self);
 }
 
+void on_evacuations(owner& self, const evacuation_view& view) {
+    const bool changed = self.evacuations.state.domains != view.state.domains;
+    self.evacuations = view;
+    if (changed)
+        for (const auto& [agent, server] : self.servers)
+            self.agents_to_update.insert(agent);
+    if (changed || self.placement_suspended)
+        process_changes(self);
+}
+
 void on_report(owner& self, const std::string& agent,
                const AgentReport& report) {
     if (self.epoch == 0 || report.followed_epoch() > self.epoch)
@@ -329,6 +348,7 @@
     if (self.is_valid())
         remove_old_jobs(self);
     update_speeds(self);
+    publish_load(self);
     process_changes(self);
 }
 
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -1,5 +1,7 @@
 #include "owner_internal.hpp"
 
+#include <celerylift/mutant.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -20,6 +22,17 @@
     occupancy.has_suspect = occupancy.has_suspect || closes;
 }
 
+void add_use(server_usage& usage, const job& job, const resources& need) {
+    const auto& name = job.submission.organisation();
+    usage.in_use += need;
+    for (auto& [organisation, in_use] : usage.by_organisation)
+        if (organisation == name) {
+            in_use += need;
+            return;
+        }
+    usage.by_organisation.emplace_back(name, need);
+}
+
 /// Adds the resources of runs that a server lists but that are not on record as
 /// assigned to it. Returns whether the task of each such run is known.
 bool add_unrecorded_runs(const owner& self, const server& server,
@@ -34,7 +47,7 @@
         if (assigned == server.assigned.end() ||
             assigned->second.task_ref->ended_in_gang) {
             const auto& step = step_of(it->second, *name);
-            usage.in_use += need_of(step);
+            add_use(usage, it->second, need_of(step));
             usage.measures_speed =
                 usage.measures_speed || tells_speed(server, step);
             add_occupant(usage.occupancy, name->job, false, {});
@@ -49,12 +62,14 @@
     server.usage.stale = false;
     self.run.metrics.count("rooms_refreshed_total");
     server.usage.in_use = {};
+    server.usage.by_organisation.clear();
     server.usage.occupancy = {};
     server.usage.measures_speed = false;
     for (const auto& [name, assigned] : server.assigned)
         if (!assigned.task_ref->ended_in_gang) {
-            const auto& step = step_of(*assigned.job_ref, name);
-            server.usage.in_use += need_of(step);
+            const auto& job = *assigned.job_ref;
+            const auto& step = step_of(job, name);
+            add_use(server.usage, job, need_of(step));
             server.usage.measures_speed =
                 server.usage.measures_speed || tells_speed(server, step);
             add_occupant(server.usage.occupancy, name.job,
@@ -83,14 +98,26 @@
 
 } // namespace
 
+bool is_cold(const server& server, time_point now) {
+    return now < server.cold_until;
+}
+
+bool is_out_of_service(const owner& self, const server& server) {
+    return is_out_of_service(self.evacuations.state, server.failure_domain) &&
+           !is_mutant("place-out-of-service");
+}
+
 schedule_pass begin_pass(owner& self) {
     schedule_pass pass;
     pass.urgent_slowness_limit = urgent_slowness_limit(self);
+    pass.candidates.reserve(self.servers.size());
+    pass.servers.reserve(self.servers.size());
+    pass.index.reserve(self.servers.size());
     std::unordered_map<std::string_view, std::size_t> racks;
     const auto now = self.run.now();
     for (auto& [agent, server] : self.servers) {
         if (!is_usable(server, now) || is_excluded(server.health, now) ||
-            has_probe_task(server))
+            has_probe_task(server) || is_out_of_service(self, server))
             continue;
         refresh_usage(self, server);
         if (!server.usage.all_runs_known)
@@ -105,7 +132,9 @@
         candidate.capacity = from_record(server.state.capacity());
         candidate.free = candidate.capacity;
         candidate.free -= server.usage.in_use;
-        candidate.health_score = is_degraded(server.health, now) ? 0.0 : 1.0;
+        // A cold server is used like one that turned out to be slow.
+        candidate.health_score =
+            is_degraded(server.health, now) || is_cold(server, now) ? 0.0 : 1.0;
         candidate.recently_healthy = is_recently_healthy(server.health, now);
         candidate.last_healthy_at = server.health.last_healthy_at;
         candidate.on_probation = server.health.on_probation;
@@ -117,13 +146,15 @@
         candidate.job_count = server.usage.occupancy.job_count;
         candidate.has_suspect = server.usage.occupancy.has_suspect;
         candidate.crash = server.usage.occupancy.crash;
-        candidate.slowness = planned_slowness(server.speed, self.speeds);
-        candidate.has_unknown_speed = self.speeds.is_uneven &&
+        const auto& speeds = speeds_of(self, server.state.service());
+        candidate.slowness = planned_slowness(server.speed, speeds);
+        candidate.has_unknown_speed = speeds.is_uneven &&
                                       !is_known(server.speed) &&
                                       !server.usage.measures_speed;
         auto& service = pass.services[candidate.service];
         service.total += candidate.capacity;
         service.free += candidate.free;
+        ++service.servers;
         pass.index.emplace(agent, pass.candidates.size());
         pass.candidates.push_back(candidate);
         pass.servers.push_back(&server);
--- a/modules/fleet/src/owner_reclaim.cpp
+++ b/modules/fleet/src/owner_reclaim.cpp
@@ -77,6 +77,38 @@
             record(member);
 }
 
+/// How many times the rest of its work a job must have time for, so that it is
+/// still in time if it is stopped now: once to run again, and as long to wait.
+constexpr double affordable_time_factor = 2.0;
+
+/// Weight of the work that a job loses which can still be in time. Its caller
+/// does not notice the loss, but the capacity is spent.
+constexpr double affordable_loss_weight = 0.1;
+
+/// Whether jobs can still be in time if they lose the progress of their current
+/// steps, by occurrence.
+using affordable_stops = std::map<std::pair<std::string, int>, bool>;
+
+/// Matters only where urgent work needs servers of a certain speed: the stopped
+/// job keeps its objective, and the urgent one is in time.
+bool can_afford_stop(const owner& self, const job& job, const task& task,
+                     affordable_stops& cache) {
+    const auto* queue = queue_of(self, job);
+    if (!queue || !speeds_of(self, queue->service).is_uneven)
+        return false;
+    const auto [it, added] =
+        cache.try_emplace({task.name.job, task.name.occurrence});
+    if (!added)
+        return it->second;
+    const auto occurrence = std::ranges::find(
+        job.occurrences, task.name.occurrence, &occurrence::number);
+    const auto factor = occurrence == job.occurrences.end()
+                            ? no_slowness_limit
+                            : slowness_limit_of(self, job, *occurrence);
+    it->second = factor < no_slowness_limit && factor >= affordable_time_factor;
+    return it->second;
+}
+
 /// Preemption costs of gangs, by step. The members of a gang end together, so
 /// they share one cost.
 using gang_costs = std::map<const step_run*, double>;
@@ -98,6 +130,7 @@
     pass.preemptible.resize(pass.candidates.size());
     pass.being_freed.assign(pass.candidates.size(), {});
     gang_costs cache;
+    affordable_stops affordable;
     for (std::size_t i = 0; i < pass.servers.size(); ++i) {
         for (const auto& [name, assigned] : pass.servers[i]->assigned) {
             const auto& task = *assigned.task_ref;
@@ -110,7 +143,9 @@
                 pass.preemptible[i].push_back(
                     {name, need,
                      cached_preemption_cost(self, *assigned.job_ref, task,
-                                            cache)});
+                                            cache),
+                     can_afford_stop(self, *assigned.job_ref, task,
+                                     affordable)});
         }
         std::ranges::sort(pass.preemptible[i], {},
                           &preemption_candidate::lost_core_seconds);
@@ -191,6 +226,15 @@
     return request.prefer_low_risk ? plan.risk : 0;
 }
 
+void discount_affordable_losses(
+    std::vector<preemption_candidate>& preemptible) {
+    for (auto& candidate : preemptible)
+        if (candidate.is_affordable)
+            candidate.lost_core_seconds *= affordable_loss_weight;
+    std::ranges::sort(preemptible, {},
+                      &preemption_candidate::lost_core_seconds);
+}
+
 std::vector<server_plan> servers_to_preempt_on(const owner& self,
                                                schedule_pass& pass,
                                                const placement_request& request,
@@ -208,6 +252,8 @@
             continue;
         candidates[i].free += pass.being_freed[i];
         servers.push_back({candidates[i], pass.preemptible[i]});
+        if (request.within_limit_only)
+            discount_affordable_losses(servers.back().preemptible);
     }
     // Of servers with equal costs a plan uses the first ones.
     if (request.prefer_low_risk)
@@ -246,19 +292,28 @@
            std::chrono::duration<double>(request.expected_run).count();
 }
 
+/// How much work urgent work may preempt outside a guarantee. For servers of a
+/// certain speed, at least as much as it does itself.
+double max_loss_for(const placement_request& request) {
+    return request.within_limit_only
+               ? std::max(max_lost_core_seconds, core_seconds_of(request))
+               : max_lost_core_seconds;
+}
+
 /// The cheapest plan, or the cheapest one without risky servers if the
 /// difference is less than what a restart there may be expected to lose.
 std::optional<preemption_plan> safest_plan(const owner& self,
                                            schedule_pass& pass,
                                            const placement_request& request,
-                                           int priority) {
+                                           int priority, bool guaranteed) {
     auto cheapest = cheapest_plan(self, pass, request, priority);
     if (!cheapest || risk_of(*cheapest, request) == 0)
         return cheapest;
     auto safe = cheapest_plan(self, pass, request, priority, no_risk);
     const bool may_use_safe =
-        safe && safe->cost <=
-                    cheapest->cost + loss_by_restart * core_seconds_of(request);
+        safe && (guaranteed || safe->cost <= max_loss_for(request)) &&
+        safe->cost <=
+            cheapest->cost + loss_by_restart * core_seconds_of(request);
     return may_use_safe ? safe : cheapest;
 }
 
@@ -275,22 +330,6 @@
     return used;
 }
 
-/// Whether an organisation's urgent work, this request included, stays within
-/// its guarantee.
-bool is_guaranteed(const owner& self, schedule_pass& pass, const job& job,
-                   const placement_request& request) {
-    const auto& name = job.submission.organisation();
-    const auto* organisation = find_organisation(*self.config, name);
-    if (!organisation)
-        return false;
-    if (!pass.urgent_accelerators)
-        pass.urgent_accelerators = count_urgent_accelerators(self);
-    const auto it = pass.urgent_accelerators->find(name);
-    const auto used = it == pass.urgent_accelerators->end() ? 0 : it->second;
-    return used + request.each.accelerators * request.count <=
-           organisation->guaranteed_accelerators;
-}
-
 /// Whether this pass has found no plan for an earlier request that needs no
 /// more than this one.
 bool is_known_to_fail(const schedule_pass& pass,
@@ -306,24 +345,37 @@
 /// is more than a slow one costs.
 std::optional<preemption_plan> find_plan(const owner& self, schedule_pass& pass,
                                          const placement_request& request,
-                                         int priority) {
+                                         int priority, bool guaranteed) {
     auto relaxed = request;
-    auto found = safest_plan(self, pass, relaxed, priority);
+    auto found = safest_plan(self, pass, relaxed, priority, guaranteed);
     if (request.within_limit_only)
         return found;
     if (!found && relaxed.same_rack) {
         relaxed.same_rack = false;
-        found = safest_plan(self, pass, relaxed, priority);
+        found = safest_plan(self, pass, relaxed, priority, guaranteed);
     }
     if (!found && relaxed.healthy_only) {
         relaxed.healthy_only = false;
-        found = safest_plan(self, pass, relaxed, priority);
+        found = safest_plan(self, pass, relaxed, priority, guaranteed);
     }
     return found;
 }
 
 } // namespace
 
+bool is_guaranteed(const owner& self, schedule_pass& pass, const job& job,
+                   std::int64_t accelerators) {
+    const auto& name = job.submission.organisation();
+    const auto* organisation = find_organisation(*self.config, name);
+    if (!organisation)
+        return false;
+    if (!pass.urgent_accelerators)
+        pass.urgent_accelerators = count_urgent_accelerators(self);
+    const auto it = pass.urgent_accelerators->find(name);
+    const auto used = it == pass.urgent_accelerators->end() ? 0 : it->second;
+    return used + accelerators <= organisation->guaranteed_accelerators;
+}
+
 bool reclaim(owner& self, schedule_pass& pass, job& job,
              const occurrence& occurrence, int step,
              const placement_request& request) {
@@ -332,16 +384,19 @@
         return false;
     // The guarantee does not extend to servers of a certain speed.
     const bool guaranteed =
-        !request.within_limit_only && is_guaranteed(self, pass, job, request);
-    if (!guaranteed && (!self.policy.preempt_beyond_guarantee ||
-                        payoff_of(self, job, occurrence) != payoff::in_full))
+        !request.within_limit_only &&
+        is_guaranteed(self, pass, job,
+                      request.each.accelerators * request.count);
+    if (!guaranteed &&
+        (!self.policy.preempt_beyond_guarantee ||
+         prospect_of(self, job, occurrence).expected != payoff::in_full))
         return false;
     if (is_known_to_fail(pass, request))
         return false;
-    const auto found = find_plan(self, pass, request, priority);
+    const auto found = find_plan(self, pass, request, priority, guaranteed);
     if (!found)
         pass.failed_reclaims.push_back(request);
-    if (!found || (!guaranteed && found->cost > max_lost_core_seconds))
+    if (!found || (!guaranteed && found->cost > max_loss_for(request)))
         return false;
     self.run.journal.event(
         "room_reclaimed",
@@ -352,6 +407,9 @@
          {"stops", found->stops.size()},
          {"lost_core_s", static_cast<std::int64_t>(found->cost)}});
     self.run.metrics.count("reclaims_total");
+    auto slowness_limit = no_slowness_limit;
+    if (request.within_limit_only)
+        slowness_limit = request.slowness_limit;
     self.reservations.push_back(
         {job.submission.id(),
          occurrence.number,
@@ -360,7 +418,8 @@
          request.each,
          self.run.now() + preemption_reservation_lifetime,
          priority,
-         {}});
+         {},
+         slowness_limit});
     pass.preemptible.clear();
     for (const auto& name : found->stops) {
         auto& preempted_job = self.jobs.at(name.job);
--- a/modules/fleet/src/owner_writes.cpp
+++ b/modules/fleet/src/owner_writes.cpp
@@ -251,13 +251,19 @@
     orders.set_noted_end(server.acknowledged_up_to);
     orders.mutable_recorded_crashes()->Assign(server.recorded_crashes.begin(),
                                               server.recorded_crashes.end());
+    if (self.evacuations.is_followed) {
+        orders.set_evacuations_as_of(self.evacuations.state.as_of);
+        orders.set_is_evacuated(
+            is_out_of_service(self.evacuations.state, server.failure_domain));
+    }
     if (server.is_named && self.is_valid()) {
         orders.set_answered_sent_at_ms(server.answered_sent_at_ms);
         orders.set_grant_ms(grant_duration.count());
         server.granted_until =
             std::max(server.granted_until, end_of_grant(server.last_report_at));
     }
-    if (self.speeds.is_uneven && server.speed.weight > 0) {
+    if (server.speed.weight > 0 &&
+        speeds_of(self, server.state.service()).is_uneven) {
         orders.mutable_speed()->set_log_slowness(server.speed.log_slowness);
         orders.mutable_speed()->set_weight(server.speed.weight);
     }
