Switch sharing and packing by scarcity off by default

Earlier deployments are to be served as before. The parts stay and can be switched on by the settings of a deployment; what binds there is in docs/design/hard-load.md.

--- a/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
+++ b/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
@@ -36,9 +36,12 @@
     bool avoid_risky_servers = true;
     /// Where work waits for room, organisations that hold little of the
     /// scarcest resource go first, then work with little time left.
-    bool share_by_scarcity = true;
+    /// Off by default: it delays urgent work on services whose organisations
+    /// hold about the same.
+    bool share_by_scarcity = false;
     /// Tasks are placed where they cost the least room for other tasks.
-    bool pack_by_mix = true;
+    /// Off by default, as its gain depends on the mix.
+    bool pack_by_mix = false;
     /// Jobs that fit no server, or that could only end too late, are refused.
     bool refuse_by_load = true;
 
--- a/tests/fleet/fair_share_test.cpp
+++ b/tests/fleet/fair_share_test.cpp
@@ -16,6 +16,14 @@
 
 namespace {
 
+/// An owner with the switches on that are off by default.
+struct scarcity_owner : owner_fixture {
+    explicit scarcity_owner(int servers) : owner_fixture(servers) {
+        owner.policy.share_by_scarcity = true;
+        owner.policy.pack_by_mix = true;
+    }
+};
+
 using fleet::dominant_share;
 using fleet::is_below_equal_share;
 using fleet::rank_of;
@@ -63,7 +71,7 @@
         fixture.report_all();
     }
 
-    owner_fixture fixture{2};
+    scarcity_owner fixture{2};
 };
 
 constexpr duration minute{60'000};
@@ -71,7 +79,7 @@
 /// Where the tasks of several jobs of two organisations go in a fleet of 32
 /// servers, less than half of which they use.
 std::map<std::string, std::string> placements_with_room(bool switched_on) {
-    owner_fixture fixture(32);
+    scarcity_owner fixture(32);
     fixture.owner.policy.share_by_scarcity = switched_on;
     fixture.owner.policy.pack_by_mix = switched_on;
     for (int n = 1; n <= 12; ++n) {
--- a/tests/fleet/shape_mix_test.cpp
+++ b/tests/fleet/shape_mix_test.cpp
@@ -17,6 +17,14 @@
 
 namespace {
 
+/// An owner with the switches on that are off by default.
+struct scarcity_owner : owner_fixture {
+    explicit scarcity_owner(int servers) : owner_fixture(servers) {
+        owner.policy.share_by_scarcity = true;
+        owner.policy.pack_by_mix = true;
+    }
+};
+
 using fleet::resources;
 using fleet::shape_mix;
 
@@ -212,7 +220,7 @@
 TEST(owner_packing, leaves_room_for_large_tasks_once_work_has_waited) {
     for (const bool pack : {false, true}) {
         SCOPED_TRACE(pack);
-        owner_fixture fixture(8);
+        scarcity_owner fixture(8);
         fixture.owner.policy.keep_rack_for_urgent = false;
         fixture.owner.policy.pack_by_mix = pack;
         make_work_wait_for_room(fixture);
@@ -235,7 +243,7 @@
 TEST(owner_packing, changes_nothing_before_work_waits_for_room) {
     std::vector<std::vector<int>> used;
     for (const bool pack : {false, true}) {
-        owner_fixture fixture(8);
+        scarcity_owner fixture(8);
         fixture.owner.policy.keep_rack_for_urgent = false;
         fixture.owner.policy.pack_by_mix = pack;
         fixture.add_job(job_id(1), "normal", 1, large(1), false);
@@ -252,7 +260,7 @@
 }
 
 TEST(owner_packing, rebuilds_the_mix_after_a_takeover) {
-    owner_fixture fixture(4);
+    scarcity_owner fixture(4);
     fixture.add_job(job_id(1), "normal", 4, large(2), false);
     fixture.run_for(duration{5000});
     fixture.add_job(job_id(2), "urgent", 7, small, false);
