--- a/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
+++ b/modules/fleet/include/celerylift/fleet/scheduling_policy.hpp
@@ -36,11 +36,11 @@
     bool avoid_risky_servers = true;
     /// Where work waits for room, organisations that hold little of the
     /// scarcest resource go first, then work with little time left.
-    /// Off by default: it delays urgent work on services whose organisations
-    /// hold about the same.
+    /// Off by default: on a service short of memory, callers were served worse
+    /// with this and `pack_by_mix`.
     bool share_by_scarcity = false;
     /// Tasks are placed where they cost the least room for other tasks.
-    /// Off by default, as its gain depends on the mix.
+    /// Off by default, for the same reason.
     bool pack_by_mix = false;
     /// Jobs that fit no server, or that could only end too late, are refused.
     bool refuse_by_load = true;
