--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,10 @@
-"""LOST: the operator replaces a route by one with another name; the jobs that
-were accepted on it never go on."""
+"""LOST: a report of another writer, with a service that isn't named, takes a
+runner out of use for good."""
 import asyncio
 import json
 import os
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib-2"))
@@ -11,26 +12,34 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 NEED = {"cpu": 1000, "mem_mb": 100, "gpu": 1}
-FIRST = {"count": 1, "est_duration_ms": 3000, **NEED}
-JOB, LATER = "00000000000000d1", "00000000000000d2"
+STEPS = [{"count": 2, "est_duration_ms": 500, **NEED}]
+BEFORE, AFTER = "00000000000000c1", "00000000000000c2"
+
+
+async def foreign_report(fleet, runner):
+    """Another writer's report: a copy of the runner's, but of a service that
+    isn't named, and with a count of its own, which follows the time."""
+    report = runner.report()
+    runner.seq -= 1             # The runner's own count goes on as it was.
+    report.update(service="nobody", seq=int(time.time()))
+    status, data = await p.request(
+        fleet.side_host(runner.number), fleet.base + 6, "PUT",
+        f"/api/instances/{runner.id}", report)
+    fleet.record(f"another writer: a report of service 'nobody' to agent-"
+                 f"{runner.number}, id {runner.id}, seq {report['seq']} -> "
+                 f"{status} {data[:80]!r}")
 
 
 async def scenario(fleet):
-    config = p.config()
-    await fleet.start(config)
-    await fleet.submit(1, JOB, json.dumps({"ms": 3000}),
-                       [FIRST, {**FIRST, "after": [0]}])
-    await asyncio.sleep(1)
-    # One version adds a route and removes one. Host, prefix, service and all
-    # else are the same. Without the trouble, a time-out changes.
-    config["version"] = 9
+    await fleet.start(p.config())
+    await fleet.submit(1, BEFORE, json.dumps({"ms": 500}), STEPS)
+    await asyncio.sleep(2)
     if TROUBLE:
-        config["routes"][0]["name"] = "r-2"
-    config["routes"][0]["timeout_ms"] = 2900
-    fleet.put_config(config)
-    await asyncio.sleep(6)      # More than config_apply_ms and stable_ms.
-    await fleet.submit(2, LATER, json.dumps({"ms": 500}), [FIRST])
-    await p.ask_after_traffic(fleet, [JOB, LATER])
+        for runner in fleet.runners.values():
+            await foreign_report(fleet, runner)
+    await asyncio.sleep(4)      # More than stable_ms; two own reports.
+    await fleet.submit(2, AFTER, json.dumps({"ms": 500}), STEPS)
+    await p.ask_after_traffic(fleet, [BEFORE, AFTER])
 
 
 sys.exit(p.play(HERE, scenario, lambda fleet: p.lost(fleet, NEED),
