--- a/review/lib-2/platform2.py
+++ b/review/lib-2/platform2.py
@@ -543,6 +543,9 @@
         self.store_ports = {}       #        carry_out) -> answer
         self.runners, self.all_runs = {}, []
         self.processes, self.logs, self.restarts = {}, {}, {}
+        self.relays = {}            # Process -> CutLinks
+        self.own_ends = {}          # Process -> how often it ended by itself
+        self.allows_own_ends = False
         self.answers = {}           # job -> [(ms, entry, method, status)]
         self.tasks, self.faults = [], []
         self.began = now_ms()
@@ -587,8 +590,8 @@
             "node_name": name, "ip": host, "zone": "za-north-a",
             "region": "za-north", "app": f"{host}:{self.base + 8}",
             "port_range": [self.base, self.base + 4],
-            "seeds": [f"{self.entry_host(n)}:{self.base + 6}"
-                      for n in range(1, self.entries + 1)],
+            "seeds": [f"{self.relays[name].host(n) if name in self.relays else self.entry_host(n)}"
+                      f":{self.base + 6}" for n in range(1, self.entries + 1)],
             "listen": {"front": f"{host}:{self.base + 9}",
                        "ready": f"{host}:{self.base + 7}",
                        "control": f"{host}:{self.base + 6}"},
@@ -649,6 +652,8 @@
                             f"{process.returncode}"
                             + ("" if told else ", on its own"))
                 if not told:
+                    self.own_ends[name] = self.own_ends.get(name, 0) + 1
+                if not told and not self.allows_own_ends:
                     self.faults.append(RuntimeError(f"{name} ended"))
                 del self.processes[name]
                 if delay is not None:
@@ -772,6 +777,76 @@
         self.lines.flush()
 
 
+class CutLinks:
+    """The paths from one machine to all entries, through a relay that can be
+    cut in both directions. While it is cut, nothing passes and new channels
+    wait. Then new channels come through at once; what was held up on older ones
+    is sent again a moment later, as TCP does, and then the end of those that
+    their sender has closed."""
+
+    RETRY_S = 0.3               # Until what was held up is sent again.
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.open_again = asyncio.Event()
+        self.open_again.set()
+        self.cut_at = 0
+
+    def host(self, n):
+        return f"{self.fleet.net}.{70 + n}"
+
+    async def open(self):
+        net = re.escape(f"{self.fleet.net}.").encode()
+        self.named = re.compile(net + rb"1(\d):%d" % self.fleet.base)
+        self.shown = f"{self.fleet.net}.7".encode() + rb"\1:%d" % (
+            self.fleet.base)
+        for n in range(1, self.fleet.entries + 1):
+            await asyncio.start_server(
+                lambda r, w, n=n: self.connect(n, r, w), self.host(n),
+                self.fleet.base)
+
+    async def cut(self, seconds):
+        self.cut_at = now_ms()
+        self.open_again.clear()
+        await asyncio.sleep(seconds)
+        self.open_again.set()
+
+    async def passage(self, since):
+        """Waits while the path is cut. An older channel waits for longer."""
+        if self.open_again.is_set():
+            return
+        await self.open_again.wait()
+        if since < self.cut_at:
+            await asyncio.sleep(self.RETRY_S)
+
+    async def relay(self, reader, writer, since, rewrite):
+        try:
+            while data := await reader.read(65536):
+                await self.passage(since)
+                writer.write(rewrite(data))
+                await writer.drain()
+            await self.passage(since)
+        except OSError:
+            await self.passage(since)
+        writer.close()
+
+    async def connect(self, n, reader, writer):
+        since = now_ms()
+        await self.passage(since)
+        try:
+            entry_reader, entry_writer = await asyncio.open_connection(
+                self.fleet.entry_host(n), self.fleet.base)
+        except OSError:
+            return writer.close()
+        try:
+            await asyncio.gather(
+                self.relay(reader, entry_writer, since, bytes),
+                self.relay(entry_reader, writer, since,
+                           lambda b: self.named.sub(self.shown, b)))
+        except asyncio.CancelledError:
+            pass
+
+
 def config(max_attempts=3, **route):
     return {"version": 4, "routes": [
         {"name": "r-1", "host": QUEUE_HOST, "prefix": QUEUE, "priority": 0,
