Give each connection between processes a routing id of its own

What callers saw: entries ended by themselves, often two at once, each time a host had been cut off for some seconds (`Assertion failed: !_io_error (src/stream_engine_base.cpp:331)` of libzmq 4.3.4). Their callers' connections broke, and the cell was without an owner until the next one had taken over.

Cause: libzmq stops to read a connection when a received message cannot be handed on, and aborts the process if a heartbeat of its own becomes due there after the connection was reset. Two settings led there: with `router_handover`, a new connection took the routing id over from the old one, whose late bytes then had nowhere to go; and the heartbeats of libzmq were on. The new tests show it on (trial in a scratch copy): `listener.survives_late_bytes_and_a_reset_on_a_replaced_connection` and `listener.survives_a_reset_while_its_receive_queue_is_full` abort with that assertion, and so does the connecting side with a full queue. Without the heartbeats, both pass; without the handover, the first ends otherwise and the second aborts still.

Ruled out: that only the handover is at fault (the full queue needs none); that turning the heartbeats off is enough. A connection whose name was taken over would then keep its descriptor for good once late bytes had arrived on it, an older connection that is established late would take the name over from a newer one, and a connection between entries that goes silent would not be noticed.

Change: the heartbeats of libzmq are off. A process numbers its connections, and the number is a part of the routing id, so that no connection takes another's name over; a listener reads and answers the newest connection of a process (`accept_message()`). libzmq no longer reconnects by itself, since it would do so under the same id. A connection on which nothing arrives for a second is probed with an empty message, which the listener returns, and is replaced after 2.5 s of silence in all, between entries as well. Keep-alive and the user time-out of TCP close what nobody closes.

Processes of both versions understand each other: the first probe tells whether the listener returns it. One of an earlier version answers it as the message of an agent, and then gets a connection under the process's name alone, which is what it takes a routing id for. It knows the numbered name as an agent without a server for ten seconds, and waits for it for half a second at most if it takes the cell over then. Earlier peers of a new listener still hand their names over, which is why `router_handover` stays.

--- a/modules/host/src/fleet_agent.cpp
+++ b/modules/host/src/fleet_agent.cpp
@@ -29,6 +29,7 @@
         },
         context_.clients);
     context_.serve_metrics(settings_.metrics);
+    maintain_links(context_, links_);
     std::vector<std::string> entries;
     for (const auto& entry : settings_.entries)
         entries.push_back(to_string(entry));
--- a/modules/host/src/fleet_entry.cpp
+++ b/modules/host/src/fleet_entry.cpp
@@ -64,6 +64,7 @@
 int fleet_entry::run() {
     context_.journal.event("started", {{"address", to_string(settings_.link)}});
     links_.listen(settings_.link);
+    maintain_links(context_, links_);
     callers_ = std::make_unique<net::async_http_server>(
         context_.loop, settings_.callers, net::http_server_limits{},
         [this](const net::served_request& request, net::responder respond) {
--- a/modules/host/src/peer_links.cpp
+++ b/modules/host/src/peer_links.cpp
@@ -2,11 +2,16 @@
 
 #include <charconv>
 #include <optional>
+#include <utility>
 
 namespace celerylift::host {
 
 namespace {
 
+constexpr duration drain_period{50};
+/// Lost links and superseded messages are reported at most this often.
+constexpr duration report_period{1000};
+
 std::optional<base::address> parse_address(const std::string& text) {
     const auto colon = text.rfind(':');
     if (colon == std::string::npos)
@@ -32,4 +37,28 @@
             }};
 }
 
+void maintain_links(process_context& context, net::message_node& node) {
+    context.timers.every(context.run.now(), drain_period,
+                         [&node](time_point) { node.drain(); });
+    context.timers.every(
+        context.run.now(), report_period,
+        [&context, &node, lost = std::uint64_t{0},
+         superseded = std::uint64_t{0}](time_point) mutable {
+            if (node.lost() == lost && node.superseded() == superseded)
+                return;
+            const auto newly_lost =
+                node.lost() - std::exchange(lost, node.lost());
+            const auto newly_superseded =
+                node.superseded() -
+                std::exchange(superseded, node.superseded());
+            context.journal.event(
+                "links_lost", {{"links", static_cast<std::int64_t>(newly_lost)},
+                               {"superseded_messages",
+                                static_cast<std::int64_t>(newly_superseded)}});
+            context.metrics.count("links_lost_total", newly_lost);
+            context.metrics.count("messages_superseded_total",
+                                  newly_superseded);
+        });
+}
+
 } // namespace celerylift::host
--- a/modules/net/include/celerylift/net/message_node.hpp
+++ b/modules/net/include/celerylift/net/message_node.hpp
@@ -2,6 +2,7 @@
 
 #include <celerylift/base/settings_reader.hpp>
 #include <celerylift/net/control_loop.hpp>
+#include <celerylift/net/peer_connections.hpp>
 
 #include <google/protobuf/message_lite.h>
 #include <zmq.hpp>
@@ -18,6 +19,12 @@
 /// The endpoint of a process for messages between celerylift processes. An
 /// entry listens; entries and agents connect to entries. All members must be
 /// called on the control loop's thread.
+///
+/// Each connection has a routing id of its own, so that a listener can tell
+/// which one is the newest of a process. An empty message is a probe, which the
+/// listener returns: the first one shows that it reads such ids, later ones
+/// that the connection is alive. A listener of an earlier version takes the
+/// routing id for the process's name, and gets the name alone.
 class message_node {
 public:
     /// `from` is the peer's own name if the peer connected to this process,
@@ -42,17 +49,49 @@
     void send(const std::string& to,
               const google::protobuf::MessageLite& message);
 
-    /// Receives all messages that have arrived. ZeroMQ's descriptor is
-    /// edge-triggered, so this also runs after each send and on each tick.
+    /// Receives all messages that have arrived, and replaces connections that
+    /// are lost. ZeroMQ's descriptor is edge-triggered, so this also runs after
+    /// each send. It must be called some twenty times a second as well.
     void drain();
 
     std::uint64_t sent() const { return sent_; }
     std::uint64_t dropped() const { return dropped_; }
     std::uint64_t received() const { return received_; }
     std::uint64_t sent_bytes() const { return sent_bytes_; }
+    /// Messages that arrived on a connection after a newer one of its process.
+    std::uint64_t superseded() const { return superseded_; }
+    /// Connections that were lost after they had been established.
+    std::uint64_t lost() const { return lost_; }
 
 private:
-    void drain(zmq::socket_t& socket, const std::string& peer);
+    /// A connection to a listener, and its replacements.
+    struct link {
+        base::address at;
+        /// Nothing while the link waits to be connected again.
+        std::optional<zmq::socket_t> socket;
+        bool is_numbered = true;
+        bool is_connected = false;
+        bool is_confirmed = false; // Messages may be sent.
+        time_point connect_at{};   // The next attempt, or the last one.
+        duration attempt_timeout{};
+        time_point last_message_at{};
+        std::optional<time_point> probe_sent_at; // Not answered yet.
+        int unanswered_connections = 0;
+    };
+
+    void open(link& link);
+    void close(link& link);
+    void probe(link& link, time_point now);
+    void maintain(link& link, time_point now);
+    void lose(link& link, time_point now);
+    bool receive_one(const std::string& peer);
+    void handle_link_message(const std::string& peer, link& link,
+                             std::string_view bytes);
+    void drain_router();
+    void handle_router_message(const std::string& routing_id,
+                               std::string_view bytes);
+    bool send_to_process(const std::string& process, const std::string& bytes);
+    void post_drain();
     void watch_socket(zmq::socket_t& socket);
 
     control_loop& loop_;
@@ -60,14 +99,19 @@
     receiver receive_;
     zmq::context_t context_{1};
     std::optional<zmq::socket_t> router_;
-    std::map<std::string, zmq::socket_t> dealers_;
-    std::vector<std::map<std::string, zmq::socket_t>::node_type>
-        closing_dealers_;
+    std::map<std::string, link> links_;
+    known_processes processes_; // That have connected to this one.
+    time_point next_forgetting_{};
+    std::int64_t started_unix_ms_;
+    std::int64_t last_connection_ = 0;
+    std::vector<zmq::socket_t> closing_sockets_;
     bool draining_ = false;
     std::uint64_t sent_ = 0;
     std::uint64_t dropped_ = 0;
     std::uint64_t received_ = 0;
     std::uint64_t sent_bytes_ = 0;
+    std::uint64_t superseded_ = 0;
+    std::uint64_t lost_ = 0;
     bool drain_posted_ = false;
 };
 
