Keep the terms of its queue with a job, and run it on without the queue

What callers saw: a job that had been accepted was shown as running or pending for ever once a version of the configuration had removed its route, or had replaced it by one of another name at the same path. No task of it was started again, and no line of a log named it.

Cause: a submission held the queue's name alone. `queue_of()` looked it up in the configuration in force; without it, `waiting_units()` passed the job over and kept it for good.

Ruled out: that the acknowledgement of the end or the record is at fault (the end is on record, and the job goes on as soon as the name is back); to resolve jobs by their path in the configuration (a removed route has no successor, and the terms of another queue are not those that the job was accepted under); to keep the last configuration in memory (a restart of all entries loses it).

Change: a submission holds the terms of its queue: service, priority, attempts, stretch, allowance, host and path. While the configuration has the queue, that applies as before; else the terms on record. The owner adds to the progress record the terms that were last in force when they differ at the removal, and, for jobs that earlier versions have accepted, the terms in force as soon as it sees the job. Such a job waits only if its queue was gone before that; `jobs_of_removed_queue` and `jobs_without_terms` report it. Jobs whose queue was replaced count as waiting for the queue at their path.

Related paths: `is_pausing()` and `may_probe()` no longer expect a queue.

Costs: some sixty bytes in each submission; one more write for each open job at the removal of a queue whose terms have changed since its submission, and once for each open job that an earlier version has accepted.

--- a/modules/fleet/include/celerylift/fleet/config.hpp
+++ b/modules/fleet/include/celerylift/fleet/config.hpp
@@ -3,6 +3,8 @@
 #include <celerylift/error.hpp>
 #include <celerylift/time.hpp>
 
+#include <fleet.pb.h>
+
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -28,6 +30,10 @@
     bool operator==(const queue_config&) const = default;
 };
 
+/// The terms of a queue as they are kept with its jobs.
+QueueTerms to_record(const queue_config& queue);
+queue_config from_record(const QueueTerms& terms, const std::string& name);
+
 struct service_config {
     std::string name;
     bool enforces_capacity = false;
--- a/modules/fleet/include/celerylift/fleet/job_index.hpp
+++ b/modules/fleet/include/celerylift/fleet/job_index.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celerylift/fleet/accepted_limits.hpp>
+#include <celerylift/fleet/config.hpp>
 #include <celerylift/fleet/store.hpp>
 
 #include <fleet.pb.h>
@@ -44,7 +45,9 @@
 std::optional<JobState> shown_state(const job_index& index,
                                     const std::string& id);
 
-/// The number of accepted jobs of a queue of which no task has started.
-int waiting_jobs(const job_index& index, const std::string& queue);
+/// The number of accepted jobs of a queue of which no task has started. Jobs
+/// whose own queue is gone count for the queue that has its path now.
+int waiting_jobs(const job_index& index, const fleet_config& config,
+                 const queue_config& queue);
 
 } // namespace celerylift::fleet
--- a/modules/fleet/include/celerylift/fleet/jobs.hpp
+++ b/modules/fleet/include/celerylift/fleet/jobs.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celerylift/fleet/config.hpp>
 #include <celerylift/fleet/names.hpp>
 #include <celerylift/fleet/resources.hpp>
 #include <celerylift/time.hpp>
@@ -92,6 +93,10 @@
 /// A job, the progress of its tasks, and what of that is stored.
 struct job {
     Submission submission;
+    /// The queue with the terms on record, which hold while the configuration
+    /// does not have it. Nothing if an earlier version has accepted the job,
+    /// and the queue has not been in force since.
+    std::optional<queue_config> recorded_queue;
     JobState state = JOB_PENDING;
     bool begun = false;
     bool cancelled = false;
--- a/modules/fleet/src/config.cpp
+++ b/modules/fleet/src/config.cpp
@@ -4,6 +4,29 @@
 
 namespace celerylift::fleet {
 
+QueueTerms to_record(const queue_config& queue) {
+    QueueTerms terms;
+    terms.set_service(queue.service);
+    terms.set_priority(queue.priority);
+    terms.set_max_attempts(queue.max_attempts);
+    terms.set_stretch(queue.stretch);
+    terms.set_allowance_ms(queue.allowance.count());
+    terms.set_host(queue.host);
+    terms.set_path_prefix(queue.path_prefix);
+    return terms;
+}
+
+queue_config from_record(const QueueTerms& terms, const std::string& name) {
+    return {name,
+            terms.host(),
+            terms.path_prefix(),
+            terms.service(),
+            terms.priority(),
+            terms.max_attempts(),
+            terms.stretch(),
+            duration{terms.allowance_ms()}};
+}
+
 const queue_config* find_queue(const fleet_config& config,
                                const std::string& host,
                                const std::string& path) {
--- a/modules/fleet/src/job_api.cpp
+++ b/modules/fleet/src/job_api.cpp
@@ -469,6 +469,7 @@
                                   "this entry is stopping; use another entry"));
     auto complete = *decoded;
     complete.set_queue(admitted.queue.name);
+    *complete.mutable_terms() = to_record(admitted.queue);
     complete.set_organisation(admitted.organisation);
     complete.set_submitted_unix_ms(api.run.unix_ms());
     if (const auto refusal = find_exceeded(api, complete))
@@ -516,7 +517,7 @@
         return finish(call, "count", *refusal);
     auto reply = make_answer(answer_kind::counted, "");
     reply.waiting =
-        waiting_jobs(*api.jobs, std::get<admission>(access).queue.name);
+        waiting_jobs(*api.jobs, *api.config, std::get<admission>(access).queue);
     finish(call, "count", reply);
 }
 
--- a/modules/fleet/src/job_index.cpp
+++ b/modules/fleet/src/job_index.cpp
@@ -70,6 +70,24 @@
     return true;
 }
 
+const QueueTerms* terms_of(const stored_job& job) {
+    if (job.progress && job.progress->has_terms())
+        return &job.progress->terms();
+    return job.submission->has_terms() ? &job.submission->terms() : nullptr;
+}
+
+/// Whether callers find an accepted job at the path of a queue.
+bool belongs_to(const stored_job& job, const fleet_config& config,
+                const queue_config& queue) {
+    if (job.submission->queue() == queue.name)
+        return true;
+    const auto* terms = terms_of(job);
+    if (!terms || find_queue(config, job.submission->queue()))
+        return false;
+    const auto* found = find_queue(config, terms->host(), terms->path_prefix());
+    return found && found->name == queue.name;
+}
+
 } // namespace
 
 std::optional<std::string> apply(job_index& index, const store_change& change) {
@@ -96,11 +114,11 @@
     return job.progress ? job.progress->state() : JOB_PENDING;
 }
 
-int waiting_jobs(const job_index& index, const std::string& queue) {
+int waiting_jobs(const job_index& index, const fleet_config& config,
+                 const queue_config& queue) {
     int count = 0;
     for (const auto& [id, job] : index.jobs) {
-        if (!job.submission || job.submission->queue() != queue ||
-            job.cancelled)
+        if (!job.submission || job.cancelled || !belongs_to(job, config, queue))
             continue;
         const bool begun = job.progress && (job.progress->begun() ||
                                             is_final(job.progress->state()));
--- a/modules/fleet/src/jobs.cpp
+++ b/modules/fleet/src/jobs.cpp
@@ -56,6 +56,11 @@
     return submission.occurrences() > 0;
 }
 
+bool has_terms_of(const Submission& submission, const queue_config& queue) {
+    return submission.has_terms() &&
+           from_record(submission.terms(), queue.name) == queue;
+}
+
 bool never_started(const task& task) {
     return task.phase == task_phase::waiting && task.run == 0;
 }
@@ -65,6 +70,9 @@
 job make_job(const Submission& submission, time_point now) {
     job result;
     result.submission = submission;
+    if (submission.has_terms())
+        result.recorded_queue =
+            from_record(submission.terms(), submission.queue());
     result.first_seen_at = now;
     if (!is_recurring(submission))
         result.occurrences.push_back(make_occurrence(submission, 0, now));
@@ -92,6 +100,9 @@
     job.state = progress.state();
     job.begun = progress.begun();
     job.ended_unix_ms = progress.ended_unix_ms();
+    if (progress.has_terms())
+        job.recorded_queue =
+            from_record(progress.terms(), job.submission.queue());
     for (const auto& record : progress.tasks()) {
         while (is_recurring(job.submission) &&
                (job.occurrences.empty() ||
@@ -129,6 +140,9 @@
 
 Progress to_record(const job& job) {
     Progress record;
+    if (job.recorded_queue &&
+        !has_terms_of(job.submission, *job.recorded_queue))
+        *record.mutable_terms() = to_record(*job.recorded_queue);
     record.set_state(job.state);
     record.set_begun(job.begun);
     record.set_ended_unix_ms(job.ended_unix_ms);
--- a/modules/fleet/src/owner.cpp
+++ b/modules/fleet/src/owner.cpp
@@ -263,6 +263,7 @@
     self.run.journal.event("took_over", {{"epoch", epoch},
                                          {"jobs", self.jobs.size()},
                                          {"assigned_tasks", assigned}});
+    report_removed_queues(self);
     process_changes(self);
 }
 
@@ -272,9 +273,14 @@
 }
 
 void on_config(owner& self, std::shared_ptr<const fleet_config> config) {
+    if (self.epoch != 0)
+        record_terms_of_removed_queues(self, *config);
     self.config = std::move(config);
     if (self.epoch == 0)
         return;
+    for (auto& [id, job] : self.jobs)
+        record_missing_terms(self, job);
+    report_removed_queues(self);
     rebuild_demand(self);
     fail_jobs_without_attempts_left(self);
     process_changes(self);
--- a/modules/fleet/src/owner_attempts.cpp
+++ b/modules/fleet/src/owner_attempts.cpp
@@ -79,7 +79,10 @@
     if (task.failures == 0 || !self.policy.pause_after_failures ||
         step_of(job, task.name).lasting())
         return false;
-    const int attempts_left = queue_of(self, job)->max_attempts - task.failures;
+    const auto* queue = queue_of(self, job);
+    if (!queue)
+        return false;
+    const int attempts_left = queue->max_attempts - task.failures;
     const auto pause = attempts_left <= 1   ? pause_before_last_attempt
                        : attempts_left == 2 ? pause_before_second_last_attempt
                                             : duration{0};
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -165,7 +165,25 @@
 void send_orders(owner& self);
 void acknowledge_stored_ends(owner& self, server& server);
 
+/// The queue of a job in the configuration, or null if it does not have it.
+const queue_config* queue_in_force(const owner& self, const job& job);
+
+/// The queue of a job with the terms that apply to it: those in force, else
+/// those on record, since a job that was accepted is run although its queue is
+/// gone. Null only for a job without terms, which cannot be placed.
 const queue_config* queue_of(const owner& self, const job& job);
+
+/// Puts the terms in force on record for a job that has none.
+void record_missing_terms(owner& self, job& job);
+
+/// Puts the terms in force on record for the open jobs whose queue `next` does
+/// not have. Call before it is applied.
+void record_terms_of_removed_queues(owner& self, const fleet_config& next);
+
+/// Reports the open jobs whose queue or service the configuration does not
+/// have.
+void report_removed_queues(const owner& self);
+
 int priority_of(const owner& self, const job& job);
 /// The step that a task of the job belongs to.
 step_run& step_run_of(job& job, const task_name& name);
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -194,11 +194,17 @@
         it->second.usage.stale = true;
 }
 
-const queue_config* queue_of(const owner& self, const job& job) {
+const queue_config* queue_in_force(const owner& self, const job& job) {
     return self.config ? find_queue(*self.config, job.submission.queue())
                        : nullptr;
 }
 
+const queue_config* queue_of(const owner& self, const job& job) {
+    if (const auto* queue = queue_in_force(self, job))
+        return queue;
+    return job.recorded_queue ? &*job.recorded_queue : nullptr;
+}
+
 int priority_of(const owner& self, const job& job) {
     const auto* queue = queue_of(self, job);
     return queue ? queue->priority : 0;
@@ -344,6 +350,7 @@
                     self.run.now());
         if (!is_final(job.state))
             self.waiting_jobs.insert(id);
+        record_missing_terms(self, job);
         record_demand(self, job);
     }
     if (!stored.cancelled || job.cancelled)
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -489,7 +489,8 @@
 /// Whether a task may be tried on a server on probation. That may cost it an
 /// attempt, so it must have one to spare.
 bool may_probe(const owner& self, const job& job, const std::string& avoid) {
-    return avoid.empty() && queue_of(self, job)->max_attempts > 1;
+    const auto* queue = queue_of(self, job);
+    return avoid.empty() && queue && queue->max_attempts > 1;
 }
 
 /// Places the tasks from `next` on that avoid the same server and are all
--- a/tests/fleet/virtual_fleet.cpp
+++ b/tests/fleet/virtual_fleet.cpp
@@ -27,23 +27,28 @@
 }
 
 result<fleet::fleet_config> decode_config(const std::string& text) {
+    auto config = virtual_fleet::default_config(std::stoi(text));
+    if (text.ends_with(without_cwm_key))
+        config.organisations.back().keys.clear();
+    if (text.ends_with(without_normal_queue))
+        config.queues.pop_back();
+    return config;
+}
+
+} // namespace
+
+fleet::fleet_config virtual_fleet::default_config(int version) {
     fleet::fleet_config config;
-    config.version = std::stoll(text);
+    config.version = version;
     config.queues.push_back(
         {"urgent", "host", "/urgent/", "order-desk", 0, 2, 1.5, duration{250}});
     config.queues.push_back({"normal", "host", "/normal/", "order-desk", 1, 2,
                              3.0, duration{1000}});
     config.organisations.push_back({"kwela", {"kwela-key"}, 16});
     config.organisations.push_back({"cwm-sump", {"cwm-key"}, 8});
-    if (text.ends_with(without_cwm_key))
-        config.organisations.back().keys.clear();
-    if (text.ends_with(without_normal_queue))
-        config.queues.pop_back();
     return config;
 }
 
-} // namespace
-
 virtual_fleet::virtual_fleet(fleet_size size) : size_(size) {
     configure(1);
     for (int n = 1; n <= size_.servers; ++n)
@@ -78,6 +83,12 @@
     store.put("op/config", std::to_string(version));
 }
 
+void virtual_fleet::configure(const fleet::fleet_config& config) {
+    const auto text = fmt::format("{} of a test", config.version);
+    own_configs_[text] = config;
+    store.put("op/config", text);
+}
+
 void virtual_fleet::start_entry(int number) {
     auto entry = std::make_unique<entry_process>();
     const auto name = fmt::format("entry-{}", number);
@@ -95,7 +106,12 @@
         fleet::entry_node_settings{
             self,
             "op/config",
-            &decode_config,
+            [this](const std::string& text) {
+                const auto own = own_configs_.find(text);
+                return own == own_configs_.end()
+                           ? decode_config(text)
+                           : result<fleet::fleet_config>(own->second);
+            },
             {address_of(1), address_of(2), address_of(3)},
             {},
             10UL * 1024 * 1024,
@@ -382,6 +398,15 @@
     return wait_for_answer(*answer);
 }
 
+fleet::answer virtual_fleet::count(const std::string& path, int entry,
+                                   const std::string& key) {
+    auto answer = std::make_shared<std::optional<fleet::answer>>();
+    fleet::count_waiting(entries_.at(entry)->node->api(),
+                         make_caller("", key, path),
+                         [answer](const fleet::answer& a) { *answer = a; });
+    return wait_for_answer(*answer);
+}
+
 bool virtual_fleet::wait_for_state(const std::string& id, fleet::JobState state,
                                    duration limit, int entry) {
     return sim.run_until(
--- a/tests/fleet/virtual_fleet.hpp
+++ b/tests/fleet/virtual_fleet.hpp
@@ -93,6 +93,9 @@
                        const std::string& key = "kwela-key");
     fleet::answer cancel(const std::string& id, int entry = 1,
                          const std::string& key = "kwela-key");
+    /// Asks for the number of waiting jobs of a queue.
+    fleet::answer count(const std::string& path, int entry = 1,
+                        const std::string& key = "kwela-key");
 
     /// Runs until an entry shows a state of a job or a limit has passed.
     /// Returns whether the entry shows it.
@@ -106,6 +109,10 @@
     void configure_without_cwm_key(int version);
     /// Writes the same configuration without the queue normal.
     void configure_without_normal_queue(int version);
+    /// Writes a configuration of a test's own.
+    void configure(const fleet::fleet_config& config);
+    /// What configure(version) writes.
+    static fleet::fleet_config default_config(int version);
 
 private:
     struct entry_process {
@@ -151,6 +158,7 @@
         std::string path;
     };
     std::map<std::string, submission> submissions_;
+    std::map<std::string, fleet::fleet_config> own_configs_; // By text.
 };
 
 /// Creates a job of one step.
