--- a/modules/fleet/include/celerylift/fleet/job_api.hpp
+++ b/modules/fleet/include/celerylift/fleet/job_api.hpp
@@ -7,6 +7,7 @@
 #include <celerylift/fleet/runtime.hpp>
 #include <celerylift/fleet/store.hpp>
 #include <celerylift/fleet/store_outage.hpp>
+#include <celerylift/fleet/withdrawals.hpp>
 
 #include <fleet.pb.h>
 
@@ -86,6 +87,8 @@
     /// old, jobs are admitted.
     std::optional<known_load> load{};
     bool refuse_by_load = true;
+    /// Of jobs that callers of this entry have cancelled and nobody has stored.
+    withdrawals withdrawn{};
     /// When the process ends, if it is stopping. All calls are answered before.
     std::optional<time_point> ends_at{};
 };
--- a/modules/fleet/include/celerylift/fleet/job_index.hpp
+++ b/modules/fleet/include/celerylift/fleet/job_index.hpp
@@ -20,10 +20,16 @@
     std::int64_t submission_revision = 0;
     std::size_t submission_bytes = 0;
     bool cancelled = false;
+    /// Of a withdrawal, which stands in place of the cancellation.
+    std::int64_t withdrawal_revision = 0;
     std::optional<Progress> progress;
     std::int64_t progress_revision = 0;
 };
 
+/// Whether a job was cancelled, or its submission was stored although it had
+/// been withdrawn before. Entries of earlier versions do not check for that.
+bool is_cancelled(const stored_job& job);
+
 /// Submissions above this size, in bytes, are large. One that uses all that is
 /// allowed, with names of usual length, is below it.
 inline constexpr std::size_t large_submission_bytes = 16UL * 1024;
--- a/modules/fleet/src/job_api.cpp
+++ b/modules/fleet/src/job_api.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <optional>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -79,6 +80,11 @@
     int writes = 0;
     /// Each may have taken effect, or may still do so.
     int unanswered_writes = 0;
+    /// The revision of a withdrawal by other organisations, which does not
+    /// concern the caller's job. 0: there is none.
+    std::int64_t foreign_withdrawal = 0;
+    /// What the call stores if it withdraws a job.
+    withdrawal own_withdrawal{};
     /// What the job adds to the jobs that are being written, by organisation.
     std::optional<std::pair<std::string, accepted_totals>> in_flight{};
 
@@ -160,6 +166,55 @@
                        advised_return(call->api)));
 }
 
+const store_item* find_item(const transaction_reply& reply,
+                            const std::string& key) {
+    const auto item = std::ranges::find(reply.current, key, &store_item::key);
+    return item == reply.current.end() ? nullptr : &*item;
+}
+
+/// The organisations for which a call withdraws a job, or submits it. Callers
+/// of a public queue share the jobs that they submit to it.
+std::set<std::string> withdrawing_organisations(const pending_call& call) {
+    std::set<std::string> found{call.access.organisation};
+    if (call.access.queue.is_public)
+        found.emplace();
+    return found;
+}
+
+/// Whether a cancellation concerns the job that a call submits.
+bool concerns(const pending_call& call, const std::string& cancellation) {
+    if (!is_withdrawal(cancellation))
+        return true;
+    const auto withdrawn = parse_withdrawal(cancellation).organisations;
+    return std::ranges::any_of(
+        withdrawing_organisations(call),
+        [&](const auto& own) { return withdrawn.contains(own); });
+}
+
+/// The job is stored already, or it was withdrawn.
+void handle_submission_conflict(const call_ptr& call, const Submission& job,
+                                const transaction_reply& reply) {
+    for (const auto& item : reply.current)
+        call->api.observe(item);
+    // This call or an earlier one has already stored the job.
+    if (find_item(reply, job_key(call->id, job_part::submission)))
+        return finish(call, "hand_in", make_answer(answer_kind::accepted, ""));
+    const auto* mark =
+        find_item(reply, job_key(call->id, job_part::cancellation));
+    call->foreign_withdrawal = mark ? mark->revision : 0;
+    if (mark && concerns(*call, mark->value)) {
+        call->api.run.metrics.count("submissions_of_withdrawn_jobs_total");
+        return finish(call, "hand_in",
+                      make_answer(answer_kind::not_run,
+                                  "the job was cancelled before it was "
+                                  "accepted; submit it under another id",
+                                  withdrawal_lease_ttl));
+    }
+    if (call->has_time())
+        return store_submission(call, job);
+    give_up_submission(call);
+}
+
 void handle_submission_reply(const call_ptr& call, const Submission& job,
                              const transaction_reply& reply) {
     if (reply.status == store_status::ok) {
@@ -174,12 +229,8 @@
                            {"revision", reply.revision}});
         return finish(call, "hand_in", make_answer(answer_kind::accepted, ""));
     }
-    if (reply.status == store_status::conflict) {
-        // This call or an earlier one has already stored the job.
-        for (const auto& item : reply.current)
-            call->api.observe(item);
-        return finish(call, "hand_in", make_answer(answer_kind::accepted, ""));
-    }
+    if (reply.status == store_status::conflict)
+        return handle_submission_conflict(call, job, reply);
     call->unanswered_writes += reply.status == store_status::unknown ? 1 : 0;
     if (call->has_time())
         return retry_later(call, [call, job] { store_submission(call, job); });
@@ -199,6 +250,8 @@
     const auto key = job_key(call->id, job_part::submission);
     store_transaction write;
     write.expected.push_back({key, 0});
+    write.expected.push_back(
+        {job_key(call->id, job_part::cancellation), call->foreign_withdrawal});
     write.puts.push_back({key, job.SerializeAsString(), 0});
     ++call->writes;
     call->api.records.transact(write, call->timeout(),
@@ -224,23 +277,26 @@
 }
 
 /// Calls `found` once it is certain that the job was accepted and that the
-/// caller may know of it.
+/// caller may know of it, or `missing` once it is certain that it is not on
+/// record.
 void find_job(const call_ptr& call, const char* verb,
-              std::function<void()> found) {
+              std::function<void()> found, std::function<void()> missing) {
     if (shown_state(*call->api.jobs, call->id))
         return may_access(*call) ? found() : answer_unknown(call, verb);
     call->api.records.read(
         job_key(call->id, job_part::submission), call->timeout(),
-        [call, verb, found = std::move(found)](const read_reply& reply) {
+        [call, verb, found = std::move(found),
+         missing = std::move(missing)](const read_reply& reply) {
             if (reply.status == store_status::not_found)
-                return answer_unknown(call, verb);
+                return missing();
             if (reply.status == store_status::ok) {
                 call->api.observe(reply.item);
                 return may_access(*call) ? found() : answer_unknown(call, verb);
             }
             if (call->has_time())
-                return retry_later(
-                    call, [call, verb, found] { find_job(call, verb, found); });
+                return retry_later(call, [call, verb, found, missing] {
+                    find_job(call, verb, found, missing);
+                });
             finish(call, verb,
                    make_answer(answer_kind::unavailable,
                                "the store did not answer; try again",
@@ -248,8 +304,30 @@
         });
 }
 
+void find_and_cancel(const call_ptr& call);
+void withdraw(const call_ptr& call);
+
+/// What a caller is told whose cancellation was not stored in time.
+void give_up_cancellation(const call_ptr& call) {
+    if (call->unanswered_writes > 0)
+        return finish(call, "cancel",
+                      make_answer(answer_kind::outcome_unknown,
+                                  "the store did not answer; cancel again"));
+    finish(call, "cancel",
+           make_answer(answer_kind::unavailable,
+                       "the store accepts no writes; cancel again",
+                       advised_return(call->api)));
+}
+
+/// Expects the submission, so that a write that is carried out late leaves no
+/// cancellation behind of a job that is not on record any more.
 void store_cancellation(const call_ptr& call) {
+    const auto known = call->api.jobs->jobs.find(call->id);
+    if (known == call->api.jobs->jobs.end() || !known->second.submission)
+        return find_and_cancel(call);
     store_transaction write;
+    write.expected.push_back({job_key(call->id, job_part::submission),
+                              known->second.submission_revision});
     write.puts.push_back(
         {job_key(call->id, job_part::cancellation), "cancelled", 0});
     ++call->writes;
@@ -263,12 +341,126 @@
             }
             call->unanswered_writes +=
                 reply.status == store_status::unknown ? 1 : 0;
-            if (call->has_time())
+            if (!call->has_time())
+                return give_up_cancellation(call);
+            if (reply.status != store_status::conflict)
                 return retry_later(call, [call] { store_cancellation(call); });
-            finish(call, "cancel",
-                   make_answer(answer_kind::outcome_unknown,
-                               "the store did not answer; cancel again"));
+            for (const auto& item : reply.current)
+                call->api.observe(item);
+            if (reply.current.empty())
+                return withdraw(call); // The job's records have been removed.
+            store_cancellation(call);
+        });
+}
+
+/// Calls `then` once the entry has a lease for withdrawals, or has failed to
+/// get one.
+void request_withdrawal_lease(job_api& api, duration timeout,
+                              std::function<void()> then) {
+    auto& state = api.withdrawn;
+    state.awaiting_lease.push_back(std::move(then));
+    if (std::exchange(state.lease_requested, true))
+        return;
+    api.records.grant_lease(
+        withdrawal_lease_ttl, timeout,
+        [&api, sent_at = api.run.now()](const lease_reply& reply) {
+            auto& state = api.withdrawn;
+            state.lease_requested = false;
+            if (reply.status == store_status::ok) {
+                state.lease = reply.lease;
+                state.lease_used_until =
+                    sent_at + reply.ttl - min_withdrawal_time;
+            }
+            for (const auto& call : std::exchange(state.awaiting_lease, {}))
+                call();
+        });
+}
+
+void store_withdrawal(const call_ptr& call);
+
+void handle_withdrawal_reply(const call_ptr& call, const store_item& mark,
+                             const transaction_reply& reply) {
+    if (reply.status == store_status::ok) {
+        call->api.observe({mark.key, mark.value, reply.revision});
+        call->api.run.metrics.count("jobs_withdrawn_total");
+        call->api.run.journal.event(
+            "job_withdrawn", {{"job", call->id},
+                              {"organisation", call->access.organisation},
+                              {"revision", reply.revision}});
+        return answer_unknown(call, "cancel");
+    }
+    if (reply.status == store_status::not_found)
+        call->api.withdrawn.lease_used_until = {}; // It has ended.
+    call->unanswered_writes += reply.status == store_status::unknown ? 1 : 0;
+    if (!call->has_time())
+        return give_up_cancellation(call);
+    if (reply.status != store_status::conflict)
+        return retry_later(call, [call] { store_withdrawal(call); });
+    for (const auto& item : reply.current)
+        call->api.observe(item);
+    if (find_item(reply, job_key(call->id, job_part::submission)))
+        return find_and_cancel(call);
+    const auto* other = find_item(reply, mark.key);
+    call->foreign_withdrawal = other ? other->revision : 0;
+    if (other)
+        call->own_withdrawal.organisations.merge(
+            parse_withdrawal(other->value).organisations);
+    store_withdrawal(call);
+}
+
+/// Stores that a job which is not on record was withdrawn, and only then
+/// answers that there is no such job.
+void store_withdrawal(const call_ptr& call) {
+    auto& api = call->api;
+    const auto now = api.run.now();
+    const auto decision = decide_write(api.outage(), now, call->retry_by());
+    if (decision == write_decision::reject || !call->has_time())
+        return give_up_cancellation(call);
+    if (decision == write_decision::hold)
+        return retry_later(call, [call] { store_withdrawal(call); });
+    if (now >= api.withdrawn.lease_used_until)
+        return request_withdrawal_lease(api, call->timeout(), [call] {
+            if (call->api.run.now() < call->api.withdrawn.lease_used_until)
+                return store_withdrawal(call);
+            retry_later(call, [call] { store_withdrawal(call); });
         });
+    call->own_withdrawal.organisations.merge(withdrawing_organisations(*call));
+    const store_item mark{job_key(call->id, job_part::cancellation),
+                          to_value(call->own_withdrawal)};
+    store_transaction write;
+    write.expected.push_back({job_key(call->id, job_part::submission), 0});
+    write.expected.push_back({mark.key, call->foreign_withdrawal});
+    write.puts.push_back({mark.key, mark.value, api.withdrawn.lease});
+    ++call->writes;
+    api.records.transact(write, call->timeout(),
+                         [call, mark](const transaction_reply& reply) {
+                             handle_withdrawal_reply(call, mark, reply);
+                         });
+}
+
+void withdraw(const call_ptr& call) {
+    if (take_withdrawal(call->api.withdrawn, call->access.organisation,
+                        call->api.run.now()))
+        return store_withdrawal(call);
+    call->api.run.metrics.count("withdrawals_refused_total");
+    finish(call, "cancel",
+           make_answer(answer_kind::unavailable,
+                       "too many jobs are being cancelled that were not "
+                       "accepted; cancel again",
+                       advised_return(call->api)));
+}
+
+void find_and_cancel(const call_ptr& call) {
+    find_job(
+        call, "cancel",
+        [call] {
+            const auto state = shown_state(*call->api.jobs, call->id);
+            if (state && is_final(*state))
+                return finish(call, "cancel",
+                              make_answer(answer_kind::accepted, ""));
+            store_cancellation(call);
+        },
+        [call] { withdraw(call); });
 }
 
 std::string validation_error(const Step& step, int number) {
@@ -470,6 +662,7 @@
     auto complete = *decoded;
     complete.set_queue(admitted.queue.name);
     *complete.mutable_terms() = to_record(admitted.queue);
+    complete.set_expected_no_withdrawal(true);
     complete.set_organisation(admitted.organisation);
     complete.set_submitted_unix_ms(api.run.unix_ms());
     if (const auto refusal = find_exceeded(api, complete))
@@ -486,12 +679,15 @@
     if (const auto* refusal = std::get_if<answer>(&access))
         return finish(call, "show", *refusal);
     call->access = std::get<admission>(access);
-    find_job(call, "show", [call] {
-        auto reply = make_answer(answer_kind::shown, "");
-        reply.state =
-            shown_state(*call->api.jobs, call->id).value_or(JOB_PENDING);
-        finish(call, "show", reply);
-    });
+    find_job(
+        call, "show",
+        [call] {
+            auto reply = make_answer(answer_kind::shown, "");
+            reply.state =
+                shown_state(*call->api.jobs, call->id).value_or(JOB_PENDING);
+            finish(call, "show", reply);
+        },
+        [call] { answer_unknown(call, "show"); });
 }
 
 void cancel(job_api& api, const caller& from, const std::string& id,
@@ -501,13 +697,7 @@
     if (const auto* refusal = std::get_if<answer>(&access))
         return finish(call, "cancel", *refusal);
     call->access = std::get<admission>(access);
-    find_job(call, "cancel", [call] {
-        const auto state = shown_state(*call->api.jobs, call->id);
-        if (state && is_final(*state))
-            return finish(call, "cancel",
-                          make_answer(answer_kind::accepted, ""));
-        store_cancellation(call);
-    });
+    find_and_cancel(call);
 }
 
 void count_waiting(job_api& api, const caller& from, answer_callback done) {
--- a/modules/fleet/src/job_index.cpp
+++ b/modules/fleet/src/job_index.cpp
@@ -2,6 +2,7 @@
 
 #include <celerylift/fleet/jobs.hpp>
 #include <celerylift/fleet/names.hpp>
+#include <celerylift/fleet/withdrawals.hpp>
 
 #include <utility>
 
@@ -40,18 +41,22 @@
     auto& job = found->second;
     if (key.part == job_part::submission)
         remove_submission(index, job);
-    if (key.part == job_part::cancellation)
+    if (key.part == job_part::cancellation) {
         job.cancelled = false;
+        job.withdrawal_revision = 0;
+    }
     if (key.part == job_part::progress)
         job.progress.reset();
-    if (!job.submission && !job.cancelled && !job.progress)
+    if (!job.submission && !job.cancelled && job.withdrawal_revision == 0 &&
+        !job.progress)
         index.jobs.erase(found);
 }
 
 bool set_part(job_index& index, stored_job& job, job_part part,
               const store_item& item) {
     if (part == job_part::cancellation) {
-        job.cancelled = true;
+        job.cancelled = !is_withdrawal(item.value);
+        job.withdrawal_revision = job.cancelled ? 0 : item.revision;
         return true;
     }
     if (part == job_part::submission) {
@@ -90,6 +95,13 @@
 
 } // namespace
 
+bool is_cancelled(const stored_job& job) {
+    if (job.cancelled || job.withdrawal_revision == 0 || !job.submission)
+        return job.cancelled;
+    return !job.submission->expected_no_withdrawal() ||
+           job.submission_revision < job.withdrawal_revision;
+}
+
 std::optional<std::string> apply(job_index& index, const store_change& change) {
     const auto key = parse_job_key(change.item.key);
     if (!key)
@@ -109,7 +121,7 @@
     const auto& job = found->second;
     if (job.progress && is_final(job.progress->state()))
         return job.progress->state();
-    if (job.cancelled)
+    if (is_cancelled(job))
         return JOB_CANCELLED;
     return job.progress ? job.progress->state() : JOB_PENDING;
 }
@@ -118,7 +130,8 @@
                  const queue_config& queue) {
     int count = 0;
     for (const auto& [id, job] : index.jobs) {
-        if (!job.submission || job.cancelled || !belongs_to(job, config, queue))
+        if (!job.submission || is_cancelled(job) ||
+            !belongs_to(job, config, queue))
             continue;
         const bool begun = job.progress && (job.progress->begun() ||
                                             is_final(job.progress->state()));
--- a/modules/fleet/src/owner_jobs.cpp
+++ b/modules/fleet/src/owner_jobs.cpp
@@ -353,7 +353,7 @@
         record_missing_terms(self, job);
         record_demand(self, job);
     }
-    if (!stored.cancelled || job.cancelled)
+    if (!is_cancelled(stored) || job.cancelled)
         return;
     job.cancelled = true;
     if (is_final(job.state))
