Spread the attempts to connect of the processes

Without ZeroMQ's own reconnection, which adds a random time, all agents of an entry that restarts would try again at the same moments.

--- a/modules/net/include/celerylift/net/message_node.hpp
+++ b/modules/net/include/celerylift/net/message_node.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -72,13 +73,16 @@
         bool is_numbered = true;
         bool is_connected = false;
         bool is_confirmed = false; // Messages may be sent.
-        time_point connect_at{};   // The next attempt, or the last one.
+        time_point connect_at{};   // The next attempt, without a socket.
+        time_point give_up_at{};   // The current attempt.
         duration attempt_timeout{};
         time_point last_message_at{};
         std::optional<time_point> probe_sent_at; // Not answered yet.
         int unanswered_connections = 0;
     };
 
+    /// Adds up to a half, so that processes do not reconnect together.
+    duration spread(duration wait);
     void open(link& link);
     void close(link& link);
     void probe(link& link, time_point now);
@@ -103,6 +107,7 @@
     known_processes processes_; // That have connected to this one.
     time_point next_forgetting_{};
     std::int64_t started_unix_ms_;
+    std::minstd_rand random_;
     std::int64_t last_connection_ = 0;
     std::vector<zmq::socket_t> closing_sockets_;
     bool draining_ = false;
--- a/modules/net/src/message_node.cpp
+++ b/modules/net/src/message_node.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -13,10 +14,10 @@
 constexpr int linger_ms = 200;
 constexpr std::int64_t max_message_bytes = 8L * 1024 * 1024;
 
-/// An attempt to connect is given up after this time, which doubles with each
-/// attempt that fails.
+/// An attempt to connect is given up after this time, and up to half as long
+/// again. It doubles with each attempt that fails.
 constexpr duration min_attempt_timeout{150};
-constexpr duration max_attempt_timeout{1000};
+constexpr duration max_attempt_timeout{700};
 /// After a connection was lost, the next attempt is made this much later.
 constexpr duration reconnect_delay{50};
 
@@ -81,7 +82,8 @@
 message_node::message_node(control_loop& loop, std::string name,
                            receiver receive)
     : loop_(loop), name_(std::move(name)), receive_(std::move(receive)),
-      started_unix_ms_(wall_now_ms()) {}
+      started_unix_ms_(wall_now_ms()),
+      random_(static_cast<std::uint32_t>(std::hash<std::string>{}(name_))) {}
 
 void message_node::watch_socket(zmq::socket_t& socket) {
     loop_.watch(socket.get(zmq::sockopt::fd), [this] { drain(); });
@@ -113,9 +115,14 @@
     links_.erase(it);
 }
 
+duration message_node::spread(duration wait) {
+    return wait + duration{std::uniform_int_distribution<duration::rep>{
+                      0, wait.count() / 2}(random_)};
+}
+
 /// Opens a connection with a routing id that has not been used before.
 void message_node::open(link& link) {
-    link.connect_at = monotonic_now();
+    link.give_up_at = monotonic_now() + spread(link.attempt_timeout);
     auto& socket = link.socket.emplace(context_, zmq::socket_type::dealer);
     set_socket_options(socket);
     const connection_id id{name_, started_unix_ms_, ++last_connection_};
@@ -149,7 +156,7 @@
     ++lost_;
     close(link);
     link.is_numbered = true;
-    link.connect_at = now + reconnect_delay;
+    link.connect_at = now + spread(reconnect_delay);
 }
 
 void message_node::probe(link& link, time_point now) {
@@ -166,7 +173,7 @@
     }
     const bool has_connection = is_writable(*link.socket);
     if (!link.is_connected && !has_connection) {
-        if (now < link.connect_at + link.attempt_timeout)
+        if (now < link.give_up_at)
             return;
         link.attempt_timeout =
             std::min(link.attempt_timeout * 2, max_attempt_timeout);
