--- a/modules/fleet/include/celerylift/fleet/withdrawals.hpp
+++ b/modules/fleet/include/celerylift/fleet/withdrawals.hpp
@@ -25,10 +25,12 @@
 };
 
 /// The value of a withdrawal in the store.
-std::string to_value(const withdrawal& mark);
+std::string to_value(const withdrawal& withdrawn);
 
 /// Whether the value of a cancellation is a withdrawal.
 bool is_withdrawal(std::string_view value);
+
+/// A withdrawal by nobody, if the value is that of another cancellation.
 withdrawal parse_withdrawal(std::string_view value);
 
 /// The store removes withdrawals by their lease. An entry uses a lease for all
