--- a/modules/host/src/peer_links.cpp
+++ b/modules/host/src/peer_links.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr duration drain_period{50};
 /// Lost links and superseded messages are reported at most this often.
 constexpr duration report_period{1000};
 
@@ -38,8 +37,7 @@
 }
 
 void maintain_links(process_context& context, net::message_node& node) {
-    context.timers.every(context.run.now(), drain_period,
-                         [&node](time_point) { node.drain(); });
+    node.use_timers(context.timers);
     context.timers.every(
         context.run.now(), report_period,
         [&context, &node, lost = std::uint64_t{0},
--- a/modules/net/include/celerylift/net/message_node.hpp
+++ b/modules/net/include/celerylift/net/message_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celerylift/base/settings_reader.hpp>
+#include <celerylift/base/timer_service.hpp>
 #include <celerylift/net/control_loop.hpp>
 #include <celerylift/net/peer_connections.hpp>
 
@@ -35,6 +36,11 @@
 
     message_node(control_loop& loop, std::string name, receiver receive);
 
+    /// Lets timers call drain() when a connection has to be opened or probed.
+    /// Without them it must be called some twenty times a second. The time of
+    /// the service is boottime_now().
+    void use_timers(base::timer_service& timers) { timers_ = &timers; }
+
     /// Throws zmq::error_t if it cannot listen on the address.
     void listen(const base::address& at);
 
@@ -52,7 +58,7 @@
 
     /// Receives all messages that have arrived, and replaces connections that
     /// are lost. ZeroMQ's descriptor is edge-triggered, so this also runs after
-    /// each send. It must be called some twenty times a second as well.
+    /// each send.
     void drain();
 
     std::uint64_t sent() const { return sent_; }
@@ -87,6 +93,9 @@
     void close(link& link);
     void probe(link& link, time_point now);
     void maintain(link& link, time_point now);
+    /// When the link has to be maintained next; nothing if no time tells.
+    static std::optional<time_point> next_check(const link& link);
+    void schedule_check(time_point now);
     void lose(link& link, time_point now);
     bool receive_one(const std::string& peer);
     void handle_link_message(const std::string& peer, link& link,
@@ -99,6 +108,9 @@
     void watch_socket(zmq::socket_t& socket);
 
     control_loop& loop_;
+    base::timer_service* timers_ = nullptr;
+    base::timer_service::subscription check_timer_ = 0;
+    std::optional<time_point> check_at_; // By monotonic_now().
     std::string name_;
     receiver receive_;
     zmq::context_t context_{1};
--- a/modules/net/src/message_node.cpp
+++ b/modules/net/src/message_node.cpp
@@ -30,6 +30,7 @@
 /// tried that has the process's name for its routing id.
 constexpr int max_unanswered_connections = 3;
 
+constexpr duration min_check_delay{1};
 constexpr duration forgetting_period{60'000};
 
 /// Closes connections whose peer is gone without a word. The peer has replaced
@@ -105,6 +106,7 @@
     it->second.at = at;
     it->second.attempt_timeout = min_attempt_timeout;
     open(it->second);
+    post_drain();
 }
 
 void message_node::disconnect(const std::string& peer) {
@@ -205,6 +207,36 @@
     }
 }
 
+std::optional<time_point> message_node::next_check(const link& link) {
+    if (!link.socket)
+        return link.connect_at;
+    if (!link.is_connected)
+        return link.give_up_at;
+    if (!link.is_numbered)
+        return std::nullopt;
+    return link.probe_sent_at ? *link.probe_sent_at + probe_timeout
+                              : link.last_message_at + probe_period;
+}
+
+void message_node::schedule_check(time_point now) {
+    std::optional<time_point> next;
+    for (const auto& [peer, link] : links_)
+        if (const auto at = next_check(link); at && (!next || *at < *next))
+            next = at;
+    // A check that comes too early does no harm, and most times only rise.
+    if (!timers_ || !next || (check_at_ && *check_at_ <= *next))
+        return;
+    if (check_at_)
+        timers_->cancel(check_timer_);
+    check_at_ = next;
+    check_timer_ =
+        timers_->once(boottime_now() + std::max(*next - now, min_check_delay),
+                      [this](time_point) {
+                          check_at_.reset();
+                          drain();
+                      });
+}
+
 void message_node::post_drain() {
     if (std::exchange(drain_posted_, true))
         return;
@@ -331,6 +363,7 @@
         forget_silent_processes(processes_, now);
         next_forgetting_ = now + forgetting_period;
     }
+    schedule_check(now);
     draining_ = false;
     if (std::exchange(closing_sockets_, {}).empty())
         return;
--- a/tests/fleet/link_failures_test.cpp
+++ b/tests/fleet/link_failures_test.cpp
@@ -66,6 +66,8 @@
     bool answers = false;
     std::string sends_to; // A message at each tick, unless empty.
     std::atomic<bool> is_blocked = false;
+    base::timer_service timers;
+    bool has_timers = false; // They alone call drain().
 
     void run(const std::function<void()>& script) {
         std::atomic<bool> is_over = false;
@@ -88,7 +90,7 @@
                 message.set_from("process");
                 node.send(sends_to, message);
             }
-            node.drain();
+            has_timers ? timers.advance(net::boottime_now()) : node.drain();
         });
         loop.run();
         peers.join();
@@ -302,6 +304,22 @@
     EXPECT_GE(process.node.lost(), 1U);
 }
 
+TEST(link, is_opened_and_replaced_by_timers) {
+    connector process;
+    process.has_timers = true;
+    process.node.use_timers(process.timers);
+    process.run([&] {
+        const auto silent = process.accept_and_confirm();
+        const auto second = process.accept_and_confirm();
+        second->reset();
+        // Nobody listens for a while.
+        wait(soon);
+        const auto third = process.accept_and_confirm();
+        EXPECT_EQ(third->receive_message(), "");
+    });
+    EXPECT_GE(process.node.lost(), 2U);
+}
+
 TEST(link, stays_while_its_peer_returns_the_probes) {
     connector process;
     std::unique_ptr<raw_peer> entry;
