Do not limit the receive queues of connections between processes

With libzmq's heartbeats off, its assertion could still be reached by those of a peer: one that is read from a full queue after the connection was reset is answered, and the process aborts. Processes of earlier versions send them. Shown by both tests with a full queue, once the raw peer sends heartbeats between its messages.

The limit of 10,000 messages a connection was above the memory of an entry anyway, and what peers send is paced. Without a limit the input never stops.

Now a reset is seen at once, and what was not read is lost with its connection, as for every shorter queue before.

--- a/modules/net/src/message_node.cpp
+++ b/modules/net/src/message_node.cpp
@@ -44,11 +44,13 @@
 void set_socket_options(zmq::socket_t& socket) {
     socket.set(zmq::sockopt::linger, linger_ms);
     socket.set(zmq::sockopt::sndhwm, max_queued_messages);
-    socket.set(zmq::sockopt::rcvhwm, max_queued_messages);
     socket.set(zmq::sockopt::maxmsgsize, max_message_bytes);
-    // ZeroMQ's own heartbeats stay off. libzmq 4.3.4 aborts the process when
-    // one is due on a connection that was reset while received messages could
-    // not be handed on (`Assertion failed: !_io_error`).
+    // libzmq 4.3.4 aborts the process when it sends or answers a heartbeat on a
+    // connection that was reset while a received message could not be handed
+    // on (`Assertion failed: !_io_error`). So its own heartbeats stay off, and
+    // the receive queue has no limit: peers of earlier versions send theirs.
+    // What peers send is paced, and drain() reads all of it.
+    socket.set(zmq::sockopt::rcvhwm, 0);
     socket.set(zmq::sockopt::tcp_keepalive, 1);
     socket.set(zmq::sockopt::tcp_keepalive_idle, keepalive_idle_s);
     socket.set(zmq::sockopt::tcp_keepalive_intvl, keepalive_interval_s);
--- a/tests/fleet/raw_peer.hpp
+++ b/tests/fleet/raw_peer.hpp
@@ -26,7 +26,8 @@
     void shake_hands();
 
     void send_message(std::string_view bytes);
-    /// Returns false if the other side takes no more within the time.
+    /// Sends messages, each with a heartbeat of ZeroMQ behind it. Returns false
+    /// if the other side takes no more.
     bool flood(std::string_view message, int messages);
     /// Waits for a message and returns it.
     std::string receive_message();
