--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -118,6 +118,7 @@
         self.next_lease = 0
         self.changed = asyncio.Event()
         self.down = False       # Silent: calls hang, leases run out.
+        self.answer_ms = 4
         self.port = HttpPort(self.handle)
 
     def touch(self):
@@ -166,7 +167,7 @@
     async def handle(self, method, target, headers, body):
         if self.down:
             return HANG
-        await asyncio.sleep(0.004)
+        await asyncio.sleep(self.answer_ms / 1000)
         answer = await self.carry_out(method, target, body)
         return HANG if self.down else answer
 
@@ -274,6 +275,7 @@
         self.capacity = {"cpu": cpu, "mem_mb": mem_mb, "gpu": gpu}
         self.running, self.finished, self.ended = {}, [], {}
         self.last_end, self.deadline = 0, 0
+        self.lapses = []            # When the lease has run out.
         self.changed = asyncio.Event()
         self.unhealthy = False      # Refuses starts, and does nothing.
         self.reporting = True
@@ -327,8 +329,12 @@
     async def advance(self):
         while True:
             await asyncio.sleep(0.01)
+            lapsed = self.clock() >= self.deadline
+            if lapsed and self.deadline:
+                self.lapses.append(now_ms())
+                self.deadline = 0
             for run in list(self.running.values()):
-                if self.clock() >= self.deadline:
+                if lapsed:
                     self.end(run, "lapsed")
                 elif run.stop_at is not None and now_ms() >= run.stop_at:
                     self.end(run, "stopped")
