--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -262,7 +262,10 @@
         self.task, self.number, self.spec, self.saved = (task, number, spec,
                                                          saved)
         self.started, self.stop_at = now_ms(), None
-        self.ms = int(spec.split("=")[1]) if "=" in spec else 1000
+        words = dict(word.split("=") for word in spec.split())
+        self.ms = int(words.get("ms", 1000))    # How long it works.
+        # This run fails by its own fault, half way.
+        self.fails = int(words.get("fails", 0)) == number
 
 
 class Server:
@@ -281,6 +284,7 @@
         self.reporting = True
         self.reports = 0            # Acknowledged.
         self.checkpoint = lambda run: ""
+        self.labels = ["a", f"r1-{(number - 1) // 3 + 1}"]
         self.port = HttpPort(self.handle)
 
     def clock(self):
@@ -295,7 +299,7 @@
                 "zone": "za-north-a", "version": "v1", "slots": 8,
                 "state": "ready", "cold_left_ms": 0,
                 "capacity": self.capacity,
-                "labels": ["a", f"r1-{(self.number - 1) // 3 + 1}"],
+                "labels": self.labels,
                 "clock_ms": self.clock(), "seq": self.seq, "born": self.born}
 
     async def open(self, host, app, control):
@@ -338,6 +342,9 @@
                     self.end(run, "lapsed")
                 elif run.stop_at is not None and now_ms() >= run.stop_at:
                     self.end(run, "stopped")
+                elif run.stop_at is None and run.fails and (
+                        now_ms() >= run.started + run.ms // 2):
+                    self.end(run, "failed")
                 elif run.stop_at is None and now_ms() >= run.started + run.ms:
                     self.end(run, "done")
 
