--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -53,6 +53,12 @@
 
     def __init__(self, handle):
         self.handle, self.writers, self.server = handle, set(), None
+        self.silent = set()     # Channels that are silent for good.
+
+    def silence(self):
+        """All open channels go silent; new ones work."""
+        self.silent |= self.writers
+        return len(self.writers)
 
     async def open(self, host, port):
         self.server = await asyncio.start_server(self.serve, host, port,
@@ -69,8 +75,9 @@
         try:
             while True:
                 (method, target, _), headers, body = await read_message(reader)
-                answer = await self.handle(method, target, headers, body)
-                if answer is HANG:
+                if writer not in self.silent:
+                    answer = await self.handle(method, target, headers, body)
+                if answer is HANG or writer in self.silent:
                     await reader.read()
                     return
                 status, out = answer
@@ -83,6 +90,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self.silent.discard(writer)
             writer.close()
 
 
@@ -262,7 +270,7 @@
         self.task, self.number, self.spec, self.saved = (task, number, spec,
                                                          saved)
         self.started, self.stop_at = now_ms(), None
-        words = dict(word.split("=") for word in spec.split())
+        words = dict(re.findall(r"(\w+)=(\d+)", spec))
         self.ms = int(words.get("ms", 1000))    # How long it works.
         # This run fails by its own fault, half way.
         self.fails = int(words.get("fails", 0)) == number
