--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -298,6 +298,20 @@
     def clock(self):
         return now_ms() - self.boot + 1000
 
+    async def crash(self, seconds):
+        """Loses all that it runs and knows, and is back under its id."""
+        self.record(f"crashes with {len(self.running)} runs")
+        self.reporting = False
+        self.port.close()
+        self.running, self.finished, self.ended = {}, [], {}
+        await asyncio.sleep(seconds)
+        self.born, self.boot = int(time.time() * 1000), now_ms()
+        self.seq = self.fence = self.last_end = self.deadline = 0
+        await self.port.open(self.host, self.app)
+        self.reporting = True
+        self.record("is back")
+        await self.send(self.report())
+
     def record(self, text):
         self.fleet.record(f"server {self.number}: {text}")
 
