Move what a unit requires and prefers to a file of its own

owner_place.cpp mixed what a unit prefers, for how long, and the placing itself. The requests move to owner_requests.cpp; nothing else changes.

Ruled out: a change of behaviour. Code was moved only, and the group's request is built in one function, which place_group() calls.

--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -325,6 +325,29 @@
 /// matter now.
 const shape_costs* packing_costs(const owner& self, const std::string& service);
 
+/// How long a task has waited since it was submitted or its last run ended.
+duration waiting_time(const owner& self, const task& task);
+
+/// What each task of a step requires, without what its state adds.
+placement_request request_for(const owner& self, const job& job,
+                              const occurrence& occurrence, int step);
+
+/// Whether a suspect still waits for servers that it shares with no other job.
+bool needs_own_servers(const owner& self, const schedule_pass& pass,
+                       const job& job, const task& task);
+
+/// What all members of a gang require and prefer.
+placement_request request_for_gang(const owner& self, const schedule_pass& pass,
+                                   const job& job, const waiting_unit& unit);
+
+/// What the tasks from `next` on require and prefer, up to the first one that
+/// avoids another server or differs in what it is suspected of.
+placement_request request_for_group(const owner& self,
+                                    const schedule_pass& pass, const job& job,
+                                    const waiting_unit& unit,
+                                    const std::vector<task*>& tasks,
+                                    std::size_t next);
+
 /// Assigns the tasks of a unit to servers. Where they do not fit, preempts
 /// other work or reserves capacity for them.
 void place_unit(owner& self, schedule_pass& pass, const waiting_unit& unit);
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -7,18 +7,6 @@
 
 namespace {
 
-/// A gang that is spread over several racks runs about three times as long. It
-/// waits for a single rack for as long as it would lose by the spread, at most
-/// this long.
-constexpr int cross_rack_slowdown = 3;
-constexpr duration max_rack_wait{12'000};
-
-/// A gang runs at the pace of its slowest member and fails if any member fails.
-/// It waits this long for healthy servers before it uses degraded ones. Urgent
-/// gangs have less time.
-constexpr duration max_wait_for_healthy{3000};
-constexpr duration max_urgent_wait_for_healthy{800};
-
 /// How long an urgent gang waits for work on fast servers to be stopped. A slow
 /// server then costs it no more than the wait.
 constexpr duration max_urgent_wait_for_speed{800};
@@ -35,16 +23,6 @@
 /// preemption alone may make urgent work miss its objective.
 constexpr int long_wait_percent = 60;
 
-/// A crash must have hit this many jobs for them to share servers. Servers for
-/// each of fewer jobs find the one at fault with fewer starts.
-constexpr int min_jobs_that_share = 6;
-
-/// How long a suspect waits for servers of its own before it shares others. On
-/// a service that is mostly idle a task must be running again after 3 s, and
-/// lasting work on any.
-constexpr duration max_wait_for_own_servers{6000};
-constexpr duration max_short_wait_for_own_servers{2500};
-
 void assign(owner& self, job& job, task& task, server& server, int run) {
     task.phase = task_phase::assigned;
     task.run = run;
@@ -75,47 +53,6 @@
     self.run.metrics.count("tasks_assigned_total");
 }
 
-/// Sets which speeds a request prefers. Nothing while servers run alike.
-void prefer_speeds(const owner& self, const job& job,
-                   const occurrence& occurrence, int step,
-                   placement_request& request) {
-    const auto& speeds = speeds_of(self, request.service);
-    if (!speeds.is_uneven)
-        return;
-    const bool is_urgent = priority_of(self, job) == 0;
-    request.by_speed =
-        is_urgent ? speed_order::fastest_first : speed_order::slowest_first;
-    request.slowness_limit = slowness_limit_of(self, job, occurrence);
-    const auto& spec = job.submission.steps(step);
-    request.explores_speeds = !is_urgent && !spec.gang() && !spec.lasting() &&
-                              !spec.filling() &&
-                              request.slowness_limit > slowest_expected(speeds);
-}
-
-placement_request request_for(const owner& self, const job& job,
-                              const occurrence& occurrence, int step) {
-    const auto& spec = job.submission.steps(step);
-    placement_request request;
-    request.job = job.submission.id();
-    request.service = queue_of(self, job)->service;
-    request.each = need_of(spec);
-    request.packing = packing_costs(self, request.service);
-    request.required_label = spec.required_label();
-    request.preferred_rack = spec.affinity_rack();
-    request.max_per_server = spec.anti_affinity();
-    request.same_rack = spec.gang() && spec.same_rack();
-    prefer_speeds(self, job, occurrence, step, request);
-    if (request.max_per_server == 0)
-        return request;
-    std::map<std::string, int> running;
-    for (const auto& task :
-         occurrence.steps[static_cast<std::size_t>(step)].tasks)
-        if (task.phase == task_phase::assigned)
-            ++running[task.agent];
-    request.running.assign(running.begin(), running.end());
-    return request;
-}
-
 bool is_for(const reservation& reservation, const waiting_unit& unit) {
     return reservation.job == unit.job && reservation.step == unit.step &&
            reservation.occurrence == static_cast<int>(unit.occurrence);
@@ -160,76 +97,6 @@
     return it == self.reservations.end() ? nullptr : &*it;
 }
 
-duration waiting_time(const owner& self, const task& task) {
-    return self.run.now() - task.waiting_since;
-}
-
-/// Whether under half of a service's processors or accelerators are in use.
-bool is_mostly_idle(const schedule_pass& pass, const std::string& service) {
-    const auto it = pass.services.find(service);
-    if (it == pass.services.end())
-        return true;
-    const auto& [total, free, servers] = it->second;
-    return free.millicores * 2 > total.millicores ||
-           free.accelerators * 2 > total.accelerators;
-}
-
-/// Lets weak suspects of a crash share servers, half of the jobs that it hit on
-/// each. Another crash then hits at most half of them.
-void allow_shared_servers(const owner& self, const task& task,
-                          placement_request& request) {
-    if (!crashed_at_once(self) || task.jobs_of_crash < min_jobs_that_share)
-        return;
-    request.crash = weak_suspect_of(task);
-    request.max_jobs_of_crash = task.jobs_of_crash / 2;
-}
-
-/// Whether a suspect may share servers at once: a member of an urgent gang that
-/// a single crash has hit, together with other jobs. Such suspects are mostly
-/// innocent, and the gang would be late. Another crash ends the exemption.
-bool is_exempt_from_own_servers(const owner& self, const job& job,
-                                const task& task) {
-    return self.policy.avoid_risky_servers && priority_of(self, job) == 0 &&
-           step_of(job, task.name).gang() && !weak_suspect_of(task).empty();
-}
-
-bool needs_own_servers(const owner& self, const schedule_pass& pass,
-                       const job& job, const task& task) {
-    if (!is_suspect(task) || is_exempt_from_own_servers(self, job, task))
-        return false;
-    const bool is_short = step_of(job, task.name).lasting() ||
-                          is_mostly_idle(pass, queue_of(self, job)->service);
-    return waiting_time(self, task) < (is_short ? max_short_wait_for_own_servers
-                                                : max_wait_for_own_servers);
-}
-
-/// Drops the preference for a single rack where no rack could hold the gang or
-/// the gang has waited long enough.
-void relax_rack(const owner& self, const job& job, const waiting_unit& unit,
-                const std::vector<candidate_server>& candidates,
-                const task& first, placement_request& request) {
-    const auto time_lost =
-        expected_run_time(self, job, unit.step) * (cross_rack_slowdown - 1);
-    if (request.same_rack &&
-        (waiting_time(self, first) >
-             std::min<duration>(time_lost, max_rack_wait) ||
-         !could_fit(candidates, request)))
-        request.same_rack = false;
-}
-
-/// Drops the servers to avoid if the request would not fit elsewhere even on an
-/// idle fleet. Otherwise the job waits for another server, so that it does not
-/// spend its last attempt where it failed before.
-void relax_avoidance(const std::vector<candidate_server>& candidates,
-                     placement_request& request) {
-    if (request.avoid.empty())
-        return;
-    auto single = request;
-    single.count = 1;
-    if (!could_fit(candidates, request.same_rack ? request : single))
-        request.avoid.clear();
-}
-
 /// Returns the number of the rack with the most free accelerators on servers
 /// that are fast enough for urgent work.
 std::size_t emptiest_rack(const std::vector<candidate_server>& candidates,
@@ -360,39 +227,6 @@
                       request);
 }
 
-/// Builds the request for all members of a gang.
-placement_request request_for_gang(const owner& self, const schedule_pass& pass,
-                                   const job& job, const waiting_unit& unit) {
-    const auto& occurrence = job.occurrences[unit.occurrence];
-    const auto& tasks =
-        occurrence.steps[static_cast<std::size_t>(unit.step)].tasks;
-    auto request = request_for(self, job, occurrence, unit.step);
-    request.count = static_cast<int>(tasks.size());
-    for (const auto& task : tasks) {
-        if (!task.avoid_agent.empty())
-            request.avoid.insert(task.avoid_agent);
-        request.needs_own_servers = request.needs_own_servers ||
-                                    needs_own_servers(self, pass, job, task);
-    }
-    if (std::ranges::all_of(tasks, [&](const task& task) {
-            return weak_suspect_of(task) == weak_suspect_of(tasks.front());
-        }))
-        allow_shared_servers(self, tasks.front(), request);
-    request.prefer_recently_healthy = !request.avoid.empty();
-    request.last_failed_at = tasks.front().last_failed_at;
-    // A single rack is preferred as long as one could hold the gang, degraded
-    // servers included.
-    relax_rack(self, job, unit, pass.candidates, tasks.front(), request);
-    relax_avoidance(pass.candidates, request);
-    request.healthy_only = waiting_time(self, tasks.front()) <
-                           (unit.priority == 0 ? max_urgent_wait_for_healthy
-                                               : max_wait_for_healthy);
-    request.expected_run = expected_run_time(self, job, unit.step);
-    request.prefer_low_risk =
-        self.policy.avoid_risky_servers && unit.priority == 0;
-    return request;
-}
-
 /// Whether an urgent gang takes only servers on which it can be in time, for
 /// now.
 bool insists_on_speed(const owner& self, const placement_request& request,
@@ -486,41 +320,13 @@
     return waiting;
 }
 
-/// Whether a task may be tried on a server on probation. That may cost it an
-/// attempt, so it must have one to spare.
-bool may_probe(const owner& self, const job& job, const std::string& avoid) {
-    const auto* queue = queue_of(self, job);
-    return avoid.empty() && queue && queue->max_attempts > 1;
-}
-
 /// Places the tasks from `next` on that avoid the same server and are all
 /// suspects or none. Returns how many were placed.
 std::size_t place_group(owner& self, schedule_pass& pass, job& job,
                         const waiting_unit& unit,
                         const std::vector<task*>& tasks, std::size_t next,
                         std::vector<candidate_server>& candidates) {
-    const auto& avoid = tasks[next]->avoid_agent;
-    auto request =
-        request_for(self, job, job.occurrences[unit.occurrence], unit.step);
-    if (!avoid.empty())
-        request.avoid.insert(avoid);
-    request.prefer_recently_healthy = !avoid.empty();
-    request.last_failed_at = tasks[next]->last_failed_at;
-    request.may_probe = may_probe(self, job, avoid);
-    request.needs_own_servers =
-        needs_own_servers(self, pass, job, *tasks[next]);
-    allow_shared_servers(self, *tasks[next], request);
-    relax_avoidance(pass.candidates, request);
-    const auto group_end = std::find_if(
-        tasks.begin() + static_cast<std::ptrdiff_t>(next), tasks.end(),
-        [&](const task* task) {
-            return task->avoid_agent != avoid ||
-                   weak_suspect_of(*task) != weak_suspect_of(*tasks[next]) ||
-                   needs_own_servers(self, pass, job, *task) !=
-                       request.needs_own_servers;
-        });
-    request.count =
-        static_cast<int>(group_end - tasks.begin()) - static_cast<int>(next);
+    const auto request = request_for_group(self, pass, job, unit, tasks, next);
     self.run.metrics.count("placements_tried_total");
     const auto chosen = place_up_to(candidates, request);
     for (std::size_t i = 0; i < chosen.size(); ++i)
