Let work that has waited use servers on probation

Cause: a probation ends only with a run on that server, and gangs were never placed on one. With all servers on probation no run could end it. The same condition kept off single tasks that had failed once and the queues with one attempt.

Ruled out: the exclusion (over for seconds), reservations (none in the log), capacity and speeds (all servers idle and alike). To end a probation by time alone would place gangs there while others have room, and full_fleet.sends_no_gang_to_a_server_on_probation forbids it.

Change: the preferences of a unit expire once it has waited for 1.5 s, if it lasts or its service is mostly idle (3 s is the target), else after 6 s. Then it may use servers on probation, after the proven ones, takes degraded servers too, and batch work may use the rack that is kept for urgent work. A gang may put several members on a server on probation: its run is one attempt, and a gang with more members than there are servers would never start. What is known not to fit within a pass is now the request that was tried, so that a unit that may use fewer servers does not answer for one that may use more.

Related paths with a test: tasks that failed at once on the only server of their kind, lasting ones too; queues with one attempt; gangs larger than the number of servers; a gang that fails there; degraded servers; batch work with a long estimate that fits only on the emptiest rack. Servers that are still excluded and the servers to avoid are not in this commit.

--- a/modules/fleet/include/celerylift/fleet/placement.hpp
+++ b/modules/fleet/include/celerylift/fleet/placement.hpp
@@ -89,6 +89,10 @@
     duration expected_run{0};
     /// Whether servers on probation may be used.
     bool may_probe = false;
+    /// Servers on probation go last. Not set for work that is to probe them.
+    bool prefer_proven = false;
+    /// A server on probation may get several of the tasks instead of one.
+    bool fills_servers_on_probation = false;
     std::string_view job;
     /// The tasks may share a server only with tasks of their own job.
     bool needs_own_servers = false;
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -184,7 +184,9 @@
                       more.slowness_limit <= less.slowness_limit
                 : !less.within_limit_only) &&
            !more.needs_own_servers && !less.needs_own_servers &&
-           (less.may_probe || !more.may_probe);
+           (less.may_probe || !more.may_probe) &&
+           (less.fills_servers_on_probation ||
+            !more.fills_servers_on_probation);
 }
 
 } // namespace celerylift::fleet
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -227,7 +227,7 @@
 /// request that needs at least as much fits later in the same pass.
 struct failed_request {
     std::string queue;
-    bool waited_long = false;
+    bool may_use_emptiest_rack = false;
     placement_request request;
 };
 
@@ -336,12 +336,25 @@
 bool needs_own_servers(const owner& self, const schedule_pass& pass,
                        const job& job, const task& task);
 
+/// Tells which tasks of a step have waited long enough for the servers that
+/// they prefer. They may use any that the step allows.
+struct preference_expiry {
+    time_point latest_waiting_since{};
+
+    bool applies_to(const task& task) const {
+        return task.waiting_since <= latest_waiting_since;
+    }
+};
+preference_expiry expiry_of(const owner& self, const schedule_pass& pass,
+                            const job& job, int step);
+
 /// What all members of a gang require and prefer.
 placement_request request_for_gang(const owner& self, const schedule_pass& pass,
                                    const job& job, const waiting_unit& unit);
 
 /// What the tasks from `next` on require and prefer, up to the first one that
-/// avoids another server or differs in what it is suspected of.
+/// avoids another server, or differs in what it is suspected of or in whether
+/// its preferences have expired.
 placement_request request_for_group(const owner& self,
                                     const schedule_pass& pass, const job& job,
                                     const waiting_unit& unit,
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -119,16 +119,20 @@
                                            long_wait_percent / 100;
 }
 
-/// Excludes the emptiest rack while batch work can still wait, so that it stays
-/// free for urgent work. Servers there that are too slow for urgent work
-/// remain.
-void exclude_emptiest_rack(const owner& self, const schedule_pass& pass,
+/// Whether a unit is urgent or has waited long enough to use the rack that is
+/// kept free for urgent work.
+bool may_use_emptiest_rack(const owner& self, const schedule_pass& pass,
                            const job& job, const waiting_unit& unit,
-                           const task& first,
+                           const task& first) {
+    return !self.policy.keep_rack_for_urgent || unit.priority == 0 ||
+           has_waited_long(self, job, unit, first) ||
+           expiry_of(self, pass, job, unit.step).applies_to(first);
+}
+
+/// Excludes the emptiest rack, so that it stays free for urgent work. Servers
+/// there that are too slow for urgent work remain.
+void exclude_emptiest_rack(const schedule_pass& pass,
                            std::vector<candidate_server>& candidates) {
-    if (!self.policy.keep_rack_for_urgent || unit.priority == 0 ||
-        has_waited_long(self, job, unit, first))
-        return;
     const auto limit = pass.urgent_slowness_limit;
     const auto rack = emptiest_rack(candidates, limit);
     for (auto& candidate : candidates)
@@ -136,9 +140,9 @@
             candidate.rack_number == rack && candidate.slowness <= limit;
 }
 
-failed_request attempt_for(const job& job, bool waited_long,
+failed_request attempt_for(const job& job, bool may_use_emptiest_rack,
                            const placement_request& request) {
-    return {job.submission.queue(), waited_long, request};
+    return {job.submission.queue(), may_use_emptiest_rack, request};
 }
 
 /// Whether an earlier request of this pass shows that this one does not fit.
@@ -151,7 +155,8 @@
            std::ranges::any_of(
                pass.failed_requests, [&](const failed_request& earlier) {
                    return earlier.queue == attempt.queue &&
-                          earlier.waited_long == attempt.waited_long &&
+                          earlier.may_use_emptiest_rack ==
+                              attempt.may_use_emptiest_rack &&
                           needs_at_least(attempt.request, earlier.request);
                });
 }
@@ -280,14 +285,17 @@
         return;
     const auto request = request_for_gang(self, pass, job, unit);
     const bool waited_long = has_waited_long(self, job, unit, tasks.front());
-    const auto attempt = attempt_for(job, waited_long, request);
+    const bool may_use_any_rack =
+        may_use_emptiest_rack(self, pass, job, unit, tasks.front());
+    const auto attempt = attempt_for(job, may_use_any_rack, request);
     const bool known_not_to_fit =
         is_known_not_to_fit(self, pass, unit, attempt);
     if (known_not_to_fit && !may_reserve(self, pass, job, unit, waited_long))
         return;
     auto candidates = pass.candidates;
     subtract_other_reservations(self, pass, unit, candidates);
-    exclude_emptiest_rack(self, pass, job, unit, tasks.front(), candidates);
+    if (!may_use_any_rack)
+        exclude_emptiest_rack(pass, candidates);
     if (!known_not_to_fit)
         self.run.metrics.count("placements_tried_total");
     auto chosen = place_in_time(self, pass, unit, job, request, candidates);
@@ -306,16 +314,18 @@
         assign_candidate(self, pass, job, tasks[i], chosen[i], run + 1);
 }
 
-/// Returns the tasks of a step that can be started. Those that avoid no server
-/// come first, suspects last.
+/// Returns the tasks of a step that can be started. Those whose preferences
+/// have expired come first, then those that avoid no server, suspects last.
 std::vector<task*> tasks_to_start(const owner& self, const job& job,
+                                  const preference_expiry& expiry,
                                   step_run& step) {
     std::vector<task*> waiting;
     for (auto& task : step.tasks)
         if (task.phase == task_phase::waiting && !is_pausing(self, job, task))
             waiting.push_back(&task);
-    std::ranges::stable_sort(waiting, {}, [](const task* task) {
-        return std::pair{is_suspect(*task), !task->avoid_agent.empty()};
+    std::ranges::stable_sort(waiting, {}, [&](const task* task) {
+        return std::tuple{is_suspect(*task), !expiry.applies_to(*task),
+                          !task->avoid_agent.empty()};
     });
     return waiting;
 }
@@ -338,20 +348,27 @@
 void place_independent_tasks(owner& self, schedule_pass& pass, job& job,
                              const waiting_unit& unit) {
     auto& occurrence = job.occurrences[unit.occurrence];
-    const auto tasks = tasks_to_start(
-        self, job, occurrence.steps[static_cast<std::size_t>(unit.step)]);
+    const auto tasks =
+        tasks_to_start(self, job, expiry_of(self, pass, job, unit.step),
+                       occurrence.steps[static_cast<std::size_t>(unit.step)]);
     if (tasks.empty())
         return;
     const auto& first = *tasks.front();
     const bool waited_long = has_waited_long(self, job, unit, first);
-    auto request = request_for(self, job, occurrence, unit.step);
+    const bool may_use_any_rack =
+        may_use_emptiest_rack(self, pass, job, unit, first);
+    const auto attempt_from = [&](std::size_t next) {
+        auto one = request_for_group(self, pass, job, unit, tasks, next);
+        one.count = 1;
+        return attempt_for(job, may_use_any_rack, one);
+    };
     if (!is_suspect(*tasks.back()) &&
-        is_known_not_to_fit(self, pass, unit,
-                            attempt_for(job, waited_long, request)))
+        is_known_not_to_fit(self, pass, unit, attempt_from(0)))
         return;
     auto candidates = pass.candidates;
     subtract_other_reservations(self, pass, unit, candidates);
-    exclude_emptiest_rack(self, pass, job, unit, first, candidates);
+    if (!may_use_any_rack)
+        exclude_emptiest_rack(pass, candidates);
     std::size_t placed = 0;
     while (placed < tasks.size()) {
         const auto count =
@@ -362,10 +379,8 @@
     }
     if (placed == tasks.size())
         return end_reservation(self, unit);
-    request = request_for(self, job, occurrence, unit.step);
-    if (tasks[placed]->avoid_agent.empty())
-        record_failed_request(self, pass, unit,
-                              attempt_for(job, waited_long, request));
+    record_failed_request(self, pass, unit, attempt_from(placed));
+    auto request = request_for(self, job, occurrence, unit.step);
     request.count = static_cast<int>(tasks.size() - placed);
     request.needs_own_servers =
         needs_own_servers(self, pass, job, *tasks[placed]);
--- a/modules/fleet/src/owner_requests.cpp
+++ b/modules/fleet/src/owner_requests.cpp
@@ -28,6 +28,13 @@
 constexpr duration max_wait_for_own_servers{6000};
 constexpr duration max_short_wait_for_own_servers{2500};
 
+/// How long a unit insists on the servers that it prefers. What would make one
+/// of them available may never happen: a probation ends only with a run there.
+/// On a service that is mostly idle a task must be running 3 s after its turn,
+/// and lasting work on any.
+constexpr duration max_preference_wait{6000};
+constexpr duration max_short_preference_wait{1500};
+
 /// Sets which speeds a request prefers. Nothing while servers run alike.
 void prefer_speeds(const owner& self, const job& job,
                    const occurrence& occurrence, int step,
@@ -55,6 +62,13 @@
            free.accelerators * 2 > total.accelerators;
 }
 
+/// Whether the tasks of a step must be running within 3 s.
+bool must_start_soon(const owner& self, const schedule_pass& pass,
+                     const job& job, int step) {
+    return job.submission.steps(step).lasting() ||
+           is_mostly_idle(pass, queue_of(self, job)->service);
+}
+
 /// Lets weak suspects of a crash share servers, half of the jobs that it hit on
 /// each. Another crash then hits at most half of them.
 void allow_shared_servers(const owner& self, const task& task,
@@ -101,7 +115,7 @@
         request.avoid.clear();
 }
 
-/// Whether a task may be tried on a server on probation. That may cost it an
+/// Whether a task is to be tried on a server on probation. That may cost it an
 /// attempt, so it must have one to spare.
 bool may_probe(const owner& self, const job& job, const std::string& avoid) {
     const auto* queue = queue_of(self, job);
@@ -142,10 +156,17 @@
                        const job& job, const task& task) {
     if (!is_suspect(task) || is_exempt_from_own_servers(self, job, task))
         return false;
-    const bool is_short = step_of(job, task.name).lasting() ||
-                          is_mostly_idle(pass, queue_of(self, job)->service);
-    return waiting_time(self, task) < (is_short ? max_short_wait_for_own_servers
-                                                : max_wait_for_own_servers);
+    return waiting_time(self, task) <
+           (must_start_soon(self, pass, job, task.name.step)
+                ? max_short_wait_for_own_servers
+                : max_wait_for_own_servers);
+}
+
+preference_expiry expiry_of(const owner& self, const schedule_pass& pass,
+                            const job& job, int step) {
+    return {self.run.now() - (must_start_soon(self, pass, job, step)
+                                  ? max_short_preference_wait
+                                  : max_preference_wait)};
 }
 
 placement_request request_for_gang(const owner& self, const schedule_pass& pass,
@@ -167,13 +188,19 @@
         allow_shared_servers(self, tasks.front(), request);
     request.prefer_recently_healthy = !request.avoid.empty();
     request.last_failed_at = tasks.front().last_failed_at;
+    request.may_probe =
+        expiry_of(self, pass, job, unit.step).applies_to(tasks.front());
+    request.prefer_proven = true;
+    // However many members fail there, the run costs the gang one attempt.
+    request.fills_servers_on_probation = true;
     // A single rack is preferred as long as one could hold the gang, degraded
     // servers included.
     relax_rack(self, job, unit, pass.candidates, tasks.front(), request);
     relax_avoidance(pass.candidates, request);
-    request.healthy_only = waiting_time(self, tasks.front()) <
-                           (unit.priority == 0 ? max_urgent_wait_for_healthy
-                                               : max_wait_for_healthy);
+    request.healthy_only = !request.may_probe &&
+                           waiting_time(self, tasks.front()) <
+                               (unit.priority == 0 ? max_urgent_wait_for_healthy
+                                                   : max_wait_for_healthy);
     request.expected_run = expected_run_time(self, job, unit.step);
     request.prefer_low_risk =
         self.policy.avoid_risky_servers && unit.priority == 0;
@@ -192,7 +219,10 @@
         request.avoid.insert(first.avoid_agent);
     request.prefer_recently_healthy = !first.avoid_agent.empty();
     request.last_failed_at = first.last_failed_at;
-    request.may_probe = may_probe(self, job, first.avoid_agent);
+    const auto expiry = expiry_of(self, pass, job, unit.step);
+    const bool expired = expiry.applies_to(first);
+    request.prefer_proven = !may_probe(self, job, first.avoid_agent);
+    request.may_probe = expired || !request.prefer_proven;
     request.needs_own_servers = needs_own_servers(self, pass, job, first);
     allow_shared_servers(self, first, request);
     relax_avoidance(pass.candidates, request);
@@ -200,6 +230,7 @@
         tasks.begin() + static_cast<std::ptrdiff_t>(next), tasks.end(),
         [&](const task* task) {
             return task->avoid_agent != first.avoid_agent ||
+                   expiry.applies_to(*task) != expired ||
                    weak_suspect_of(*task) != weak_suspect_of(first) ||
                    needs_own_servers(self, pass, job, *task) !=
                        request.needs_own_servers;
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -33,15 +33,21 @@
     return request.explores_speeds && server.has_unknown_speed;
 }
 
+/// The maximum number of the tasks that a server gets, whatever its capacity.
+std::int64_t max_tasks_on(const candidate_server& server,
+                          const placement_request& request) {
+    const bool is_probed =
+        server.on_probation && !request.fills_servers_on_probation;
+    return is_probed || is_explored(server, request) ? 1 : request.count;
+}
+
 /// How many of the tasks fit on a server now.
 std::int64_t slots_on(const candidate_server& server,
                       const placement_request& request) {
     if (!admits(server, request))
         return 0;
-    const auto max_tasks =
-        server.on_probation || is_explored(server, request) ? 1 : request.count;
-    const auto slots =
-        std::min<std::int64_t>(slots_in(server.free, request.each), max_tasks);
+    const auto slots = std::min(slots_in(server.free, request.each),
+                                max_tasks_on(server, request));
     if (request.max_per_server == 0)
         return slots;
     return std::clamp<std::int64_t>(
@@ -91,6 +97,7 @@
 /// How well a server suits a request, by what counts most first. Lower is
 /// better.
 struct preference {
+    bool unproven = false;
     bool degraded = false;
     int health_uncertainty = 0;
     bool outside_preferred_rack = false;
@@ -107,7 +114,8 @@
 
 preference preference_for(const candidate_server& server,
                           const placement_request& request) {
-    return {server.health_score < min_health_score,
+    return {request.prefer_proven && server.on_probation,
+            server.health_score < min_health_score,
             health_uncertainty(server, request),
             is_outside_preferred_rack(server, request),
             is_too_slow(server, request),
@@ -135,6 +143,7 @@
     std::int64_t slots = 0;
     int degraded = 0;
     bool outside_preferred_rack = false;
+    int unproven = 0; // Of the servers that the tasks would use.
     /// Of the servers that the tasks would use. Work that takes the fastest
     /// servers first is as slow as the slowest of them.
     bool too_slow = false;
@@ -144,8 +153,8 @@
 
     auto order_key() const {
         return std::tuple{
-            degraded,   outside_preferred_rack, too_slow,       risk,
-            speed_rank, free.accelerators,      free.millicores};
+            unproven, degraded,   outside_preferred_rack, too_slow,
+            risk,     speed_rank, free.accelerators,      free.millicores};
     }
 };
 
@@ -162,8 +171,9 @@
         group.servers.push_back({preference, index, slots});
 }
 
-/// Sums up the risk and the speed of the servers that the tasks would use. A
-/// gang is lost with any of them, and as slow as the slowest.
+/// Sums up the risk and the speed of the servers that the tasks would use, and
+/// how many of them are on probation. A gang is lost with any of them, and as
+/// slow as the slowest.
 void rate_servers_used(server_group& group, const placement_request& request) {
     std::ranges::sort(group.servers);
     std::int64_t slots = 0;
@@ -172,6 +182,7 @@
         if (slots >= request.count)
             break;
         slots += server.slots;
+        group.unproven += server.order_key.unproven ? 1 : 0;
         group.too_slow = group.too_slow || server.order_key.too_slow;
         group.risk += server.order_key.risk_class;
         slowest_rank = std::max(slowest_rank, server.order_key.speed_rank);
@@ -180,9 +191,9 @@
         group.speed_rank = slowest_rank;
 }
 
-/// Groups in order of preference: the fewest degraded servers, the preferred
-/// rack, servers that are fast enough, the lowest risk, the speed that suits
-/// the request, then the least free capacity.
+/// Groups in order of preference: the fewest servers on probation and degraded
+/// ones, the preferred rack, servers that are fast enough, the lowest risk, the
+/// speed that suits the request, then the least free capacity.
 std::vector<server_group>
 groups_in_order(const std::vector<candidate_server>& candidates,
                 const placement_request& request) {
@@ -195,6 +206,7 @@
     std::vector<server_group> groups;
     groups.reserve(racks.size());
     const bool rates_servers = request.prefer_low_risk ||
+                               (request.may_probe && request.prefer_proven) ||
                                request.by_speed == speed_order::fastest_first;
     for (auto& [rack, group] : racks) {
         if (rates_servers)
--- /dev/null
+++ b/tests/fleet/placement_preferences_test.cpp
@@ -0,0 +1,207 @@
+// What placement prefers for a unit ends by time, because the event that would
+// end it may never come: on a service under half in use, work whose turn has
+// come has something running within three seconds.
+#include "virtual_fleet.hpp"
+
+#include <celerylift/fleet/placement.hpp>
+
+#include <gtest/gtest.h>
+
+#include <fmt/format.h>
+
+namespace celerylift::test {
+
+namespace {
+
+constexpr fleet::resources small{8'000, 16'000, 1};
+constexpr fleet::resources whole_server{128'000, 262'144, 8};
+constexpr duration start_limit{3000};
+constexpr int server_count = 6;
+
+std::string job_id(int n) {
+    return fmt::format("{:016x}", n);
+}
+
+void submit(virtual_fleet& fleet, const fleet::Submission& job) {
+    fleet.submit_async(job, 1, "kwela-key", "/normal/");
+}
+
+/// Whether a task of the job runs within a time.
+bool runs_within(virtual_fleet& fleet, int job, duration limit) {
+    return fleet.sim.run_until(
+        [&] {
+            return std::ranges::any_of(
+                fleet.history.running, [&](const auto& running) {
+                    return running.first.starts_with(job_id(job));
+                });
+        },
+        limit);
+}
+
+/// Puts all servers on probation by jobs that fail at once wherever they run,
+/// and waits until no server is excluded any more.
+void put_all_servers_on_probation(virtual_fleet& fleet) {
+    for (int n = 1; n <= server_count; ++n)
+        fleet.server(n).fails_all_runs = true;
+    for (int n = 0x101; n <= 0x100 + server_count / 2; ++n) {
+        submit(fleet, make_job(job_id(n), "ms=400", 1, small));
+        fleet.sim.run_for(duration{500});
+    }
+    fleet.sim.run_for(duration{5000});
+    ASSERT_EQ(fleet.history.failures, server_count);
+    for (int n = 1; n <= server_count; ++n)
+        fleet.server(n).fails_all_runs = false;
+}
+
+} // namespace
+
+// ---- Servers on probation ----
+
+// Only a run that succeeds ends the probation of a server, and gangs were never
+// placed on one. After three hopeless jobs no gang was started any more.
+TEST(servers_on_probation, run_a_gang_where_all_servers_are_on_probation) {
+    virtual_fleet fleet;
+    put_all_servers_on_probation(fleet);
+    submit(fleet, make_gang(job_id(1), "ms=400", 2, small));
+    EXPECT_TRUE(runs_within(fleet, 1, start_limit));
+    EXPECT_TRUE(fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED));
+    EXPECT_TRUE(fleet.history.violations.empty());
+}
+
+// A task that failed at once on the only server of its kind was kept off it,
+// since tasks that have failed do not probe servers.
+TEST(servers_on_probation, run_a_task_that_has_failed_there) {
+    for (const bool lasting : {false, true}) {
+        SCOPED_TRACE(lasting ? "lasting" : "with an end");
+        virtual_fleet fleet;
+        fleet.server(server_count).kind = "special";
+        fleet.sim.run_for(duration{1000});
+        auto job = make_job(job_id(1), "ms=5000", 1, small);
+        job.mutable_steps(0)->set_required_label("special");
+        job.mutable_steps(0)->set_lasting(lasting);
+        submit(fleet, job);
+        ASSERT_TRUE(runs_within(fleet, 1, duration{500}));
+        fleet.server(server_count).fail_runs();
+        EXPECT_TRUE(runs_within(fleet, 1, start_limit));
+    }
+}
+
+// Tasks of a queue with a single attempt do not probe servers.
+TEST(servers_on_probation, run_a_task_that_has_a_single_attempt) {
+    virtual_fleet fleet;
+    auto config = virtual_fleet::default_config(2);
+    config.queues.back().max_attempts = 1;
+    fleet.configure(config);
+    fleet.server(server_count).kind = "special";
+    fleet.sim.run_for(duration{1000});
+    auto job = make_job(job_id(1), "ms=5000", 1, small);
+    job.mutable_steps(0)->set_required_label("special");
+    submit(fleet, job);
+    ASSERT_TRUE(runs_within(fleet, 1, duration{500}));
+    fleet.server(server_count).fail_runs();
+    ASSERT_TRUE(fleet.wait_for_state(job_id(1), fleet::JOB_FAILED));
+    fleet.sim.run_for(duration{2500});
+    job.set_id(job_id(2));
+    submit(fleet, job);
+    EXPECT_TRUE(runs_within(fleet, 2, start_limit));
+}
+
+// A server on probation got one task of a gang, so that a gang with more
+// members than there are servers was never started.
+TEST(servers_on_probation, run_a_gang_with_several_members_on_each) {
+    for (const bool same_rack : {false, true}) {
+        SCOPED_TRACE(same_rack ? "on one rack" : "on any rack");
+        virtual_fleet fleet;
+        put_all_servers_on_probation(fleet);
+        auto gang = make_gang(job_id(1), "ms=400", 2 * server_count, small);
+        gang.mutable_steps(0)->set_same_rack(same_rack);
+        submit(fleet, gang);
+        EXPECT_TRUE(runs_within(fleet, 1, start_limit));
+        EXPECT_TRUE(fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED));
+    }
+}
+
+// The only servers left fail all that they start: the gang spends an attempt
+// there and is started again within the same time.
+TEST(servers_on_probation, run_a_gang_again_after_it_has_failed_there) {
+    virtual_fleet fleet;
+    put_all_servers_on_probation(fleet);
+    for (int n = 1; n <= server_count; ++n)
+        fleet.server(n).fails_all_runs = true;
+    const int failures = fleet.history.failures;
+    submit(fleet, make_gang(job_id(1), "ms=400", 2, small));
+    ASSERT_TRUE(runs_within(fleet, 1, start_limit));
+    fleet.sim.run_until([&] { return fleet.history.failures > failures; },
+                        duration{1000});
+    for (int n = 1; n <= server_count; ++n)
+        fleet.server(n).fails_all_runs = false;
+    fleet.sim.run_for(duration{200});
+    EXPECT_TRUE(runs_within(fleet, 1, start_limit));
+    EXPECT_TRUE(fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED));
+}
+
+// A gang that has waited may use servers on probation, but does so only where
+// the others do not suffice.
+TEST(servers_on_probation, run_members_that_do_not_fit_on_proven_servers) {
+    std::vector<std::string> labels;
+    std::vector<fleet::candidate_server> candidates(3);
+    for (auto& candidate : candidates) {
+        candidate.service = "order-desk";
+        candidate.labels = &labels;
+        candidate.capacity = candidate.free = whole_server;
+    }
+    candidates[0].on_probation = candidates[1].on_probation = true;
+    fleet::placement_request request;
+    request.service = "order-desk";
+    request.each = whole_server;
+    request.may_probe = request.prefer_proven = true;
+    for (const int count : {1, 2}) {
+        request.count = count;
+        auto free = candidates;
+        const auto chosen = place(free, request);
+        ASSERT_EQ(std::ssize(chosen), count);
+        EXPECT_EQ(chosen.front(), 2U);
+    }
+}
+
+// ---- Other preferences ----
+
+// Gangs insisted on healthy servers for three seconds however idle the service.
+TEST(degraded_servers, run_a_gang_where_all_servers_are_degraded) {
+    virtual_fleet fleet;
+    for (int n = 0; n < 2; ++n) {
+        auto jobs =
+            make_job(job_id(0x100 + n), "ms=5000", server_count, whole_server);
+        submit(fleet, jobs);
+        ASSERT_TRUE(runs_within(fleet, 0x100 + n, duration{500}));
+        fleet.sim.run_for(duration{1000});
+        for (int server = 1; server <= server_count; ++server)
+            fleet.server(server).fail_runs();
+        fleet.sim.run_for(duration{100});
+        fleet.cancel(job_id(0x100 + n));
+        fleet.sim.run_for(duration{200});
+    }
+    submit(fleet, make_gang(job_id(1), "ms=400", 2, small));
+    EXPECT_TRUE(runs_within(fleet, 1, start_limit));
+}
+
+// Batch work kept off the emptiest rack for a share of its expected run time,
+// though it fitted nowhere else.
+TEST(rack_for_urgent_work, runs_batch_work_that_fits_only_there) {
+    virtual_fleet fleet;
+    for (int n = 4; n <= server_count; ++n)
+        fleet.server(n).kind = "special";
+    fleet.sim.run_for(duration{1000});
+    auto other = make_job(job_id(0x100), "ms=60000", 3, small);
+    other.mutable_steps(0)->set_required_label("a");
+    submit(fleet, other);
+    ASSERT_TRUE(runs_within(fleet, 0x100, start_limit));
+    fleet.sim.run_for(duration{1000});
+    auto job = make_job(job_id(1), "ms=5000", 1, small);
+    job.mutable_steps(0)->set_required_label("special");
+    job.mutable_steps(0)->set_estimate_ms(3'600'000);
+    submit(fleet, job);
+    EXPECT_TRUE(runs_within(fleet, 1, start_limit));
+}
+
+} // namespace celerylift::test
