Let work that has waited use the servers that it avoids

Cause: a task keeps off the server on which it failed as long as its request would fit elsewhere on an idle fleet. Where work that lasts holds the others of its kind there is never room elsewhere. What it could not place it then reserved by a request made anew, without the servers to avoid.

Ruled out: probation and exclusion (the failed run lasted 500 ms, and the later job was started on the same server meanwhile); that only the reservation is at fault (without it the later job runs, the urgent one does not).

Change: the avoidance expires with the other preferences of the unit, after 1.5 s on a mostly idle service or for lasting work, else after 6 s. The servers to avoid are then used last instead of never, and also where the request would fit nowhere else. What is reserved or reclaimed is the request that was tried. needs_at_least() compares the servers to avoid: requests that have some now reach the list of plans that failed.

Related paths with a test: batch work and urgent work, a gang with a member that failed, and that servers with room elsewhere still go first.

--- a/modules/fleet/include/celerylift/fleet/placement.hpp
+++ b/modules/fleet/include/celerylift/fleet/placement.hpp
@@ -76,6 +76,8 @@
     /// Set only if max_per_server limits them.
     std::vector<std::pair<std::string, int>> running;
     std::set<std::string, std::less<>> avoid;
+    /// The servers to avoid go last instead of being excluded.
+    bool may_use_avoided = false;
     /// Set for work that has failed before: servers that have shown since its
     /// last failure that they are healthy go first, then recently healthy ones.
     bool prefer_recently_healthy = false;
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -96,6 +96,14 @@
            });
 }
 
+/// Whether a request excludes no more servers to avoid than another one.
+bool avoids_no_more(const placement_request& less,
+                    const placement_request& more) {
+    return less.may_use_avoided || less.avoid.empty() ||
+           (!more.may_use_avoided &&
+            std::ranges::includes(more.avoid, less.avoid));
+}
+
 } // namespace
 
 bool is_cold(const server& server, time_point now) {
@@ -184,7 +192,7 @@
                       more.slowness_limit <= less.slowness_limit
                 : !less.within_limit_only) &&
            !more.needs_own_servers && !less.needs_own_servers &&
-           (less.may_probe || !more.may_probe) &&
+           avoids_no_more(less, more) && (less.may_probe || !more.may_probe) &&
            (less.fills_servers_on_probation ||
             !more.fills_servers_on_probation);
 }
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -163,7 +163,9 @@
 
 void record_failed_request(const owner& self, schedule_pass& pass,
                            const waiting_unit& unit, failed_request attempt) {
-    if (attempt.request.avoid.empty() && !has_reservation(self, unit))
+    const bool excludes_servers =
+        !attempt.request.avoid.empty() && !attempt.request.may_use_avoided;
+    if (!excludes_servers && !has_reservation(self, unit))
         pass.failed_requests.push_back(std::move(attempt));
 }
 
@@ -380,11 +382,9 @@
     if (placed == tasks.size())
         return end_reservation(self, unit);
     record_failed_request(self, pass, unit, attempt_from(placed));
-    auto request = request_for(self, job, occurrence, unit.step);
-    request.count = static_cast<int>(tasks.size() - placed);
-    request.needs_own_servers =
-        needs_own_servers(self, pass, job, *tasks[placed]);
-    preempt_or_reserve(self, pass, unit, job, request, candidates, waited_long);
+    preempt_or_reserve(self, pass, unit, job,
+                       request_for_group(self, pass, job, unit, tasks, placed),
+                       candidates, waited_long);
 }
 
 } // namespace
--- a/modules/fleet/src/owner_requests.cpp
+++ b/modules/fleet/src/owner_requests.cpp
@@ -102,17 +102,18 @@
         request.same_rack = false;
 }
 
-/// Drops the servers to avoid if the request would not fit elsewhere even on an
-/// idle fleet. Otherwise the job waits for another server, so that it does not
-/// spend its last attempt where it failed before.
+/// Allows the servers to avoid once the preferences have expired, or if the
+/// request would not fit elsewhere even on an idle fleet. Until then the job
+/// waits for another server, so that it does not spend its last attempt where
+/// it failed before.
 void relax_avoidance(const std::vector<candidate_server>& candidates,
-                     placement_request& request) {
+                     bool expired, placement_request& request) {
     if (request.avoid.empty())
         return;
     auto single = request;
     single.count = 1;
-    if (!could_fit(candidates, request.same_rack ? request : single))
-        request.avoid.clear();
+    request.may_use_avoided =
+        expired || !could_fit(candidates, request.same_rack ? request : single);
 }
 
 /// Whether a task is to be tried on a server on probation. That may cost it an
@@ -188,19 +189,20 @@
         allow_shared_servers(self, tasks.front(), request);
     request.prefer_recently_healthy = !request.avoid.empty();
     request.last_failed_at = tasks.front().last_failed_at;
-    request.may_probe =
+    const bool expired =
         expiry_of(self, pass, job, unit.step).applies_to(tasks.front());
+    request.may_probe = expired;
     request.prefer_proven = true;
     // However many members fail there, the run costs the gang one attempt.
     request.fills_servers_on_probation = true;
     // A single rack is preferred as long as one could hold the gang, degraded
     // servers included.
     relax_rack(self, job, unit, pass.candidates, tasks.front(), request);
-    relax_avoidance(pass.candidates, request);
-    request.healthy_only = !request.may_probe &&
-                           waiting_time(self, tasks.front()) <
-                               (unit.priority == 0 ? max_urgent_wait_for_healthy
-                                                   : max_wait_for_healthy);
+    relax_avoidance(pass.candidates, expired, request);
+    request.healthy_only =
+        !expired && waiting_time(self, tasks.front()) <
+                        (unit.priority == 0 ? max_urgent_wait_for_healthy
+                                            : max_wait_for_healthy);
     request.expected_run = expected_run_time(self, job, unit.step);
     request.prefer_low_risk =
         self.policy.avoid_risky_servers && unit.priority == 0;
@@ -225,7 +227,7 @@
     request.may_probe = expired || !request.prefer_proven;
     request.needs_own_servers = needs_own_servers(self, pass, job, first);
     allow_shared_servers(self, first, request);
-    relax_avoidance(pass.candidates, request);
+    relax_avoidance(pass.candidates, expired, request);
     const auto group_end = std::find_if(
         tasks.begin() + static_cast<std::ptrdiff_t>(next), tasks.end(),
         [&](const task* task) {
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -27,6 +27,11 @@
     return count;
 }
 
+bool is_avoided(const candidate_server& server,
+                const placement_request& request) {
+    return !request.avoid.empty() && request.avoid.contains(server.agent);
+}
+
 /// Whether a task of the request is placed on a server to learn its speed.
 bool is_explored(const candidate_server& server,
                  const placement_request& request) {
@@ -97,6 +102,7 @@
 /// How well a server suits a request, by what counts most first. Lower is
 /// better.
 struct preference {
+    bool avoided = false;
     bool unproven = false;
     bool degraded = false;
     int health_uncertainty = 0;
@@ -114,7 +120,8 @@
 
 preference preference_for(const candidate_server& server,
                           const placement_request& request) {
-    return {request.prefer_proven && server.on_probation,
+    return {is_avoided(server, request),
+            request.prefer_proven && server.on_probation,
             server.health_score < min_health_score,
             health_uncertainty(server, request),
             is_outside_preferred_rack(server, request),
@@ -143,7 +150,10 @@
     std::int64_t slots = 0;
     int degraded = 0;
     bool outside_preferred_rack = false;
-    int unproven = 0; // Of the servers that the tasks would use.
+    /// Of the servers that the tasks would use: those to avoid, and those on
+    /// probation.
+    int avoided = 0;
+    int unproven = 0;
     /// Of the servers that the tasks would use. Work that takes the fastest
     /// servers first is as slow as the slowest of them.
     bool too_slow = false;
@@ -153,8 +163,9 @@
 
     auto order_key() const {
         return std::tuple{
-            unproven, degraded,   outside_preferred_rack, too_slow,
-            risk,     speed_rank, free.accelerators,      free.millicores};
+            avoided,        unproven, degraded,   outside_preferred_rack,
+            too_slow,       risk,     speed_rank, free.accelerators,
+            free.millicores};
     }
 };
 
@@ -172,8 +183,8 @@
 }
 
 /// Sums up the risk and the speed of the servers that the tasks would use, and
-/// how many of them are on probation. A gang is lost with any of them, and as
-/// slow as the slowest.
+/// how many of them are to be avoided or on probation. A gang is lost with any
+/// of them, and as slow as the slowest.
 void rate_servers_used(server_group& group, const placement_request& request) {
     std::ranges::sort(group.servers);
     std::int64_t slots = 0;
@@ -182,6 +193,7 @@
         if (slots >= request.count)
             break;
         slots += server.slots;
+        group.avoided += server.order_key.avoided ? 1 : 0;
         group.unproven += server.order_key.unproven ? 1 : 0;
         group.too_slow = group.too_slow || server.order_key.too_slow;
         group.risk += server.order_key.risk_class;
@@ -191,9 +203,9 @@
         group.speed_rank = slowest_rank;
 }
 
-/// Groups in order of preference: the fewest servers on probation and degraded
-/// ones, the preferred rack, servers that are fast enough, the lowest risk, the
-/// speed that suits the request, then the least free capacity.
+/// Groups in order of preference: the fewest servers to avoid, on probation and
+/// degraded, the preferred rack, servers that are fast enough, the lowest risk,
+/// the speed that suits the request, then the least free capacity.
 std::vector<server_group>
 groups_in_order(const std::vector<candidate_server>& candidates,
                 const placement_request& request) {
@@ -207,6 +219,7 @@
     groups.reserve(racks.size());
     const bool rates_servers = request.prefer_low_risk ||
                                (request.may_probe && request.prefer_proven) ||
+                               request.may_use_avoided ||
                                request.by_speed == speed_order::fastest_first;
     for (auto& [rack, group] : racks) {
         if (rates_servers)
@@ -294,7 +307,7 @@
         return false;
     if (request.within_limit_only && server.slowness > request.slowness_limit)
         return false;
-    if (!request.avoid.empty() && request.avoid.contains(server.agent))
+    if (!request.may_use_avoided && is_avoided(server, request))
         return false;
     return request.required_label.empty() ||
            std::ranges::find(*server.labels, request.required_label) !=
--- a/tests/fleet/placement_preferences_test.cpp
+++ b/tests/fleet/placement_preferences_test.cpp
@@ -26,6 +26,20 @@
     fleet.submit_async(job, 1, "kwela-key", "/normal/");
 }
 
+/// Submits a job that only servers of the kind "special" can run.
+void submit_special(virtual_fleet& fleet, fleet::Submission job,
+                    const std::string& path = "/normal/") {
+    job.mutable_steps(0)->set_required_label("special");
+    fleet.submit_async(job, 1, "kwela-key", path);
+}
+
+/// The server on which the first running task of a job runs.
+virtual_server& server_of(virtual_fleet& fleet, int job) {
+    const auto& id =
+        fleet.history.running.lower_bound(job_id(job) + ".")->second;
+    return fleet.server(std::stoi(id.substr(id.rfind('-') + 1)));
+}
+
 /// Whether a task of the job runs within a time.
 bool runs_within(virtual_fleet& fleet, int job, duration limit) {
     return fleet.sim.run_until(
@@ -164,6 +178,80 @@
     }
 }
 
+// ---- Servers to avoid ----
+
+// A task kept off the server on which it had failed as long as its request
+// would fit elsewhere on an idle fleet. Where work that lasts held the others
+// of its kind it never ran again, and its reservation kept later work off that
+// server.
+TEST(server_to_avoid, runs_its_task_again_where_lasting_work_holds_the_others) {
+    for (const bool urgent : {false, true}) {
+        SCOPED_TRACE(urgent ? "urgent" : "batch");
+        virtual_fleet fleet({3, 8, 4});
+        for (const int n : {7, 8})
+            fleet.server(n).kind = "special";
+        fleet.sim.run_for(duration{1000});
+        auto lasting = make_job(job_id(1), "ms=600000", 1, whole_server);
+        lasting.mutable_steps(0)->set_lasting(true);
+        submit_special(fleet, lasting);
+        ASSERT_TRUE(runs_within(fleet, 1, start_limit));
+        submit_special(fleet, make_job(job_id(2), "ms=1000", 1, whole_server),
+                       urgent ? "/urgent/" : "/normal/");
+        ASSERT_TRUE(runs_within(fleet, 2, start_limit));
+        fleet.sim.run_for(duration{500});
+        server_of(fleet, 2).fail_runs();
+        fleet.sim.run_for(duration{1000});
+        submit_special(fleet, make_job(job_id(3), "ms=4000", 1, small));
+        // Batch work does not preempt the later task, but runs after it.
+        const duration room_in{urgent ? 0 : 4000};
+        EXPECT_TRUE(runs_within(fleet, 2, start_limit + room_in));
+        EXPECT_TRUE(fleet.wait_for_state(job_id(2), fleet::JOB_COMPLETED));
+        EXPECT_TRUE(!urgent || runs_within(fleet, 3, start_limit));
+        EXPECT_TRUE(fleet.wait_for_state(job_id(3), fleet::JOB_COMPLETED));
+    }
+}
+
+// The gang fits without the server to avoid, but the others are taken.
+TEST(server_to_avoid, runs_its_gang_again_where_lasting_work_holds_the_others) {
+    virtual_fleet fleet({3, 8, 4});
+    for (const int n : {6, 7, 8})
+        fleet.server(n).kind = "special";
+    fleet.sim.run_for(duration{1000});
+    auto lasting = make_job(job_id(1), "ms=600000", 1, whole_server);
+    lasting.mutable_steps(0)->set_lasting(true);
+    submit_special(fleet, lasting);
+    ASSERT_TRUE(runs_within(fleet, 1, start_limit));
+    submit_special(fleet, make_gang(job_id(2), "ms=1000", 2, whole_server));
+    ASSERT_TRUE(runs_within(fleet, 2, start_limit));
+    fleet.sim.run_for(duration{500});
+    server_of(fleet, 2).fail_runs();
+    fleet.sim.run_for(duration{500});
+    EXPECT_TRUE(runs_within(fleet, 2, start_limit));
+    EXPECT_TRUE(fleet.wait_for_state(job_id(2), fleet::JOB_COMPLETED));
+}
+
+// While the others have room the task goes there, also once it has waited.
+TEST(server_to_avoid, is_used_last) {
+    std::vector<std::string> labels;
+    std::vector<fleet::candidate_server> candidates(2);
+    candidates[0].agent = "agent-1";
+    candidates[1].agent = "agent-2";
+    for (auto& candidate : candidates) {
+        candidate.service = "order-desk";
+        candidate.labels = &labels;
+        candidate.capacity = candidate.free = whole_server;
+    }
+    candidates[0].free -= small;
+    fleet::placement_request request;
+    request.service = "order-desk";
+    request.each = small;
+    request.avoid = {"agent-1"};
+    request.may_use_avoided = true;
+    const auto chosen = place(candidates, request);
+    ASSERT_EQ(chosen.size(), 1U);
+    EXPECT_EQ(chosen.front(), 1U);
+}
+
 // ---- Other preferences ----
 
 // Gangs insisted on healthy servers for three seconds however idle the service.
