Use servers on which runs have failed only where waiting does not help

What callers saw: jobs that fail wherever they run exclude their servers for up to 16 s after several failures. With all servers of an idle service excluded nothing was started for longer than 3 s.

Cause: begin_pass() left excluded servers out, so that no request could ask for them; a service of which a part is excluded or out of service counted as in use by the rest.

Change: expired preferences let a unit use servers on probation, excluded ones and those to avoid if the sound servers could not hold it once the runs that end within 12 s have ended, or after 30 s. Excluded servers are kept apart and become candidates of a pass only when such work is met that must start soon; it uses them last and if they and the others have room for it twice over. A service is mostly idle by all servers that report. Lasting work does not wait, since it has no limit of attempts.

--- a/modules/fleet/include/celerylift/fleet/placement.hpp
+++ b/modules/fleet/include/celerylift/fleet/placement.hpp
@@ -31,6 +31,9 @@
     time_point last_healthy_at{};
     /// The server gets a single task until a run shows that it is healthy.
     bool on_probation = false;
+    /// The server is on probation and gets no work for now, because runs have
+    /// failed there or its single task has not shown yet that it is healthy.
+    bool is_excluded = false;
     /// Higher if the host has recently restarted or failed.
     int risk_class = 0;
     std::size_t rack_number = 0;
@@ -91,6 +94,8 @@
     duration expected_run{0};
     /// Whether servers on probation may be used.
     bool may_probe = false;
+    /// Whether excluded servers may be used, after all others.
+    bool may_use_excluded = false;
     /// Servers on probation go last. Not set for work that is to probe them.
     bool prefer_proven = false;
     /// A server on probation may get several of the tasks instead of one.
@@ -136,6 +141,11 @@
 bool is_eligible(const candidate_server& server,
                  const placement_request& request);
 
+/// Whether the free capacity of the servers suffices for the tasks twice over.
+/// Of a request's preferences none counts.
+bool has_ample_room(const std::vector<candidate_server>& candidates,
+                    placement_request request);
+
 /// Whether the tasks of other jobs on a server allow it to be used now.
 bool admits(const candidate_server& server, const placement_request& request);
 
--- a/modules/fleet/src/owner_candidates.cpp
+++ b/modules/fleet/src/owner_candidates.cpp
@@ -96,6 +96,20 @@
            });
 }
 
+void add_capacity(service_capacity& service,
+                  const candidate_server& candidate) {
+    service.total += candidate.capacity;
+    service.free += candidate.free;
+    ++service.servers;
+}
+
+void add_candidate(schedule_pass& pass, const candidate_server& candidate,
+                   server& server) {
+    pass.index.emplace(candidate.agent, pass.candidates.size());
+    pass.candidates.push_back(candidate);
+    pass.servers.push_back(&server);
+}
+
 /// Whether a request excludes no more servers to avoid than another one.
 bool avoids_no_more(const placement_request& less,
                     const placement_request& more) {
@@ -124,8 +138,7 @@
     std::unordered_map<std::string_view, std::size_t> racks;
     const auto now = self.run.now();
     for (auto& [agent, server] : self.servers) {
-        if (!is_usable(server, now) || is_excluded(server.health, now) ||
-            has_probe_task(server) || is_out_of_service(self, server))
+        if (!is_usable(server, now))
             continue;
         refresh_usage(self, server);
         if (!server.usage.all_runs_known)
@@ -146,6 +159,8 @@
         candidate.recently_healthy = is_recently_healthy(server.health, now);
         candidate.last_healthy_at = server.health.last_healthy_at;
         candidate.on_probation = server.health.on_probation;
+        candidate.is_excluded =
+            is_excluded(server.health, now) || has_probe_task(server);
         if (self.policy.avoid_risky_servers)
             candidate.risk_class = risk_class(server.history, now);
         candidate.job = server.usage.occupancy.job;
@@ -159,17 +174,28 @@
         candidate.has_unknown_speed = speeds.is_uneven &&
                                       !is_known(server.speed) &&
                                       !server.usage.measures_speed;
-        auto& service = pass.services[candidate.service];
-        service.total += candidate.capacity;
-        service.free += candidate.free;
-        ++service.servers;
-        pass.index.emplace(agent, pass.candidates.size());
-        pass.candidates.push_back(candidate);
-        pass.servers.push_back(&server);
+        add_capacity(pass.reporting[candidate.service], candidate);
+        if (is_out_of_service(self, server))
+            continue;
+        if (candidate.is_excluded) {
+            pass.excluded.push_back(candidate);
+            pass.excluded_servers.push_back(&server);
+            continue;
+        }
+        add_capacity(pass.services[candidate.service], candidate);
+        add_candidate(pass, candidate, server);
     }
     return pass;
 }
 
+void add_excluded_servers(schedule_pass& pass) {
+    for (std::size_t i = 0; i < pass.excluded.size(); ++i)
+        add_candidate(pass, pass.excluded[i], *pass.excluded_servers[i]);
+    pass.excluded.clear();
+    pass.excluded_servers.clear();
+    pass.preemptible.clear(); // Filled again, by the new candidates.
+}
+
 void subtract_reservation(const schedule_pass& pass,
                           const reservation& reservation,
                           std::vector<candidate_server>& candidates) {
@@ -193,6 +219,7 @@
                 : !less.within_limit_only) &&
            !more.needs_own_servers && !less.needs_own_servers &&
            avoids_no_more(less, more) && (less.may_probe || !more.may_probe) &&
+           (less.may_use_excluded || !more.may_use_excluded) &&
            (less.fills_servers_on_probation ||
             !more.fills_servers_on_probation);
 }
--- a/modules/fleet/src/owner_internal.hpp
+++ b/modules/fleet/src/owner_internal.hpp
@@ -240,7 +240,7 @@
     bool is_affordable = false;
 };
 
-/// The capacity of the usable servers of a service, and how much is free.
+/// The capacity of servers of a service, and how much of it is free.
 struct service_capacity {
     resources total;
     resources free;
@@ -261,6 +261,11 @@
     std::vector<server*> servers; // By candidate.
     std::unordered_map<std::string_view, std::size_t> index;
     std::unordered_map<std::string_view, service_capacity> services;
+    /// Including servers that are excluded or out of service.
+    std::unordered_map<std::string_view, service_capacity> reporting;
+    /// The excluded servers that are not candidates yet.
+    std::vector<candidate_server> excluded;
+    std::vector<server*> excluded_servers; // By index in `excluded`.
     /// Of the services that lack room for all of the waiting work.
     std::map<std::string, service_shares, std::less<>> shares;
     std::int64_t started_unix_ms = 0;
@@ -276,6 +281,9 @@
     std::optional<std::map<std::string, std::int64_t>> urgent_accelerators;
     /// Servers up to this factor are kept for urgent work where possible.
     double urgent_slowness_limit = no_slowness_limit;
+    /// The candidates with the capacity that they have once the runs that end
+    /// soon have ended. Filled on first use.
+    std::vector<candidate_server> soon_available;
     /// Limits the reservation plans of one pass. Units beyond the limit wait
     /// for another pass.
     int reservation_plans_left = 8;
@@ -290,6 +298,10 @@
 /// Gathers the servers that can be given work, with their free capacity.
 schedule_pass begin_pass(owner& self);
 
+/// Adds the excluded servers to the candidates of the rest of a pass. Only
+/// requests that ask for them may use them.
+void add_excluded_servers(schedule_pass& pass);
+
 /// At most one journal line on the order and one on the packing of a service
 /// in this time.
 inline constexpr duration demand_event_interval{10'000};
@@ -336,10 +348,18 @@
 bool needs_own_servers(const owner& self, const schedule_pass& pass,
                        const job& job, const task& task);
 
+/// The candidates of a pass with the capacity that they have once the runs that
+/// end soon have ended.
+std::vector<candidate_server> soon_available(const owner& self,
+                                             const schedule_pass& pass);
+
 /// Tells which tasks of a step have waited long enough for the servers that
-/// they prefer. They may use any that the step allows.
+/// they prefer. They may use others that the step allows; those on which runs
+/// have failed only where sound ones will not have room soon.
 struct preference_expiry {
     time_point latest_waiting_since{};
+    /// The tasks must be running within 3 s, on excluded servers if need be.
+    bool must_start_soon = false;
 
     bool applies_to(const task& task) const {
         return task.waiting_since <= latest_waiting_since;
--- a/modules/fleet/src/owner_place.cpp
+++ b/modules/fleet/src/owner_place.cpp
@@ -104,7 +104,7 @@
     std::vector<std::int64_t> free;
     for (const auto& candidate : candidates) {
         free.resize(std::max(free.size(), candidate.rack_number + 1));
-        if (candidate.slowness <= slowness_limit)
+        if (candidate.slowness <= slowness_limit && !candidate.is_excluded)
             free[candidate.rack_number] += candidate.free.accelerators;
     }
     return static_cast<std::size_t>(std::ranges::max_element(free) -
@@ -387,10 +387,33 @@
                        candidates, waited_long);
 }
 
+/// Whether the preferences of a task that waits have expired.
+bool applies_to_any(const preference_expiry& expiry, const step_run& step) {
+    return std::ranges::any_of(step.tasks, [&](const task& task) {
+        return task.phase == task_phase::waiting && expiry.applies_to(task);
+    });
+}
+
+/// Gathers what decides on the servers that a unit may use in addition once its
+/// preferences have expired.
+void prepare_for_expired(owner& self, schedule_pass& pass, const job& job,
+                         const waiting_unit& unit) {
+    const auto expiry = expiry_of(self, pass, job, unit.step);
+    const auto& occurrence = job.occurrences[unit.occurrence];
+    if (!applies_to_any(expiry,
+                        occurrence.steps[static_cast<std::size_t>(unit.step)]))
+        return;
+    if (pass.soon_available.empty())
+        pass.soon_available = soon_available(self, pass);
+    if (expiry.must_start_soon && !pass.excluded.empty())
+        add_excluded_servers(pass);
+}
+
 } // namespace
 
 void place_unit(owner& self, schedule_pass& pass, const waiting_unit& unit) {
     auto& job = self.jobs.at(unit.job);
+    prepare_for_expired(self, pass, job, unit);
     if (job.submission.steps(unit.step).gang())
         place_gang(self, pass, job, unit);
     else
--- a/modules/fleet/src/owner_requests.cpp
+++ b/modules/fleet/src/owner_requests.cpp
@@ -35,6 +35,13 @@
 constexpr duration max_preference_wait{6000};
 constexpr duration max_short_preference_wait{1500};
 
+/// A server on which all runs fail at once is always free, and would take the
+/// attempts of work that sound servers will have room for. A unit waits for
+/// room that comes within the first of these times, but not longer than the
+/// second.
+constexpr duration max_run_to_wait_for{12'000};
+constexpr duration max_wait_for_sound_servers{30'000};
+
 /// Sets which speeds a request prefers. Nothing while servers run alike.
 void prefer_speeds(const owner& self, const job& job,
                    const occurrence& occurrence, int step,
@@ -54,8 +61,8 @@
 
 /// Whether under half of a service's processors or accelerators are in use.
 bool is_mostly_idle(const schedule_pass& pass, const std::string& service) {
-    const auto it = pass.services.find(service);
-    if (it == pass.services.end())
+    const auto it = pass.reporting.find(service);
+    if (it == pass.reporting.end())
         return true;
     const auto& [total, free, servers] = it->second;
     return free.millicores * 2 > total.millicores ||
@@ -116,6 +123,19 @@
         expired || !could_fit(candidates, request.same_rack ? request : single);
 }
 
+/// Whether a unit whose preferences have expired may use the servers that its
+/// request excludes because runs have failed there. Lasting work has no limit
+/// of attempts.
+bool may_use_doubtful_servers(const schedule_pass& pass, const job& job,
+                              int step, duration waited,
+                              placement_request request) {
+    if (job.submission.steps(step).lasting() ||
+        waited >= max_wait_for_sound_servers)
+        return true;
+    request.same_rack = false;
+    return !could_fit(pass.soon_available, request);
+}
+
 /// Whether a task is to be tried on a server on probation. That may cost it an
 /// attempt, so it must have one to spare.
 bool may_probe(const owner& self, const job& job, const std::string& avoid) {
@@ -129,6 +149,23 @@
     return self.run.now() - task.waiting_since;
 }
 
+std::vector<candidate_server> soon_available(const owner& self,
+                                             const schedule_pass& pass) {
+    auto candidates = pass.candidates;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto& server = *pass.servers[i];
+        for (const auto& [name, assigned] : server.assigned) {
+            const auto& job = *assigned.job_ref;
+            const auto& step = step_of(job, name);
+            if (step.lasting() ||
+                remaining_run_time_ms(self, server, job, *assigned.task_ref) >
+                    static_cast<double>(max_run_to_wait_for.count()))
+                candidates[i].capacity -= need_of(step);
+        }
+    }
+    return candidates;
+}
+
 placement_request request_for(const owner& self, const job& job,
                               const occurrence& occurrence, int step) {
     const auto& spec = job.submission.steps(step);
@@ -165,9 +202,10 @@
 
 preference_expiry expiry_of(const owner& self, const schedule_pass& pass,
                             const job& job, int step) {
-    return {self.run.now() - (must_start_soon(self, pass, job, step)
-                                  ? max_short_preference_wait
-                                  : max_preference_wait)};
+    const bool is_short = must_start_soon(self, pass, job, step);
+    return {self.run.now() -
+                (is_short ? max_short_preference_wait : max_preference_wait),
+            is_short};
 }
 
 placement_request request_for_gang(const owner& self, const schedule_pass& pass,
@@ -189,16 +227,22 @@
         allow_shared_servers(self, tasks.front(), request);
     request.prefer_recently_healthy = !request.avoid.empty();
     request.last_failed_at = tasks.front().last_failed_at;
-    const bool expired =
-        expiry_of(self, pass, job, unit.step).applies_to(tasks.front());
-    request.may_probe = expired;
+    const auto expiry = expiry_of(self, pass, job, unit.step);
+    const bool expired = expiry.applies_to(tasks.front());
+    const bool may_use_doubtful =
+        expired &&
+        may_use_doubtful_servers(pass, job, unit.step,
+                                 waiting_time(self, tasks.front()), request);
+    request.may_probe = may_use_doubtful;
+    request.may_use_excluded = may_use_doubtful && expiry.must_start_soon &&
+                               has_ample_room(pass.candidates, request);
     request.prefer_proven = true;
     // However many members fail there, the run costs the gang one attempt.
     request.fills_servers_on_probation = true;
     // A single rack is preferred as long as one could hold the gang, degraded
     // servers included.
     relax_rack(self, job, unit, pass.candidates, tasks.front(), request);
-    relax_avoidance(pass.candidates, expired, request);
+    relax_avoidance(pass.candidates, may_use_doubtful, request);
     request.healthy_only =
         !expired && waiting_time(self, tasks.front()) <
                         (unit.priority == 0 ? max_urgent_wait_for_healthy
@@ -224,10 +268,17 @@
     const auto expiry = expiry_of(self, pass, job, unit.step);
     const bool expired = expiry.applies_to(first);
     request.prefer_proven = !may_probe(self, job, first.avoid_agent);
-    request.may_probe = expired || !request.prefer_proven;
+    request.may_probe = !request.prefer_proven;
+    const bool may_use_doubtful =
+        expired && (request.prefer_proven || expiry.must_start_soon) &&
+        may_use_doubtful_servers(pass, job, unit.step,
+                                 waiting_time(self, first), request);
+    request.may_probe = request.may_probe || may_use_doubtful;
+    request.may_use_excluded = may_use_doubtful && expiry.must_start_soon &&
+                               has_ample_room(pass.candidates, request);
     request.needs_own_servers = needs_own_servers(self, pass, job, first);
     allow_shared_servers(self, first, request);
-    relax_avoidance(pass.candidates, expired, request);
+    relax_avoidance(pass.candidates, may_use_doubtful, request);
     const auto group_end = std::find_if(
         tasks.begin() + static_cast<std::ptrdiff_t>(next), tasks.end(),
         [&](const task* task) {
--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -102,6 +102,7 @@
 /// How well a server suits a request, by what counts most first. Lower is
 /// better.
 struct preference {
+    bool excluded = false;
     bool avoided = false;
     bool unproven = false;
     bool degraded = false;
@@ -120,7 +121,8 @@
 
 preference preference_for(const candidate_server& server,
                           const placement_request& request) {
-    return {is_avoided(server, request),
+    return {server.is_excluded,
+            is_avoided(server, request),
             request.prefer_proven && server.on_probation,
             server.health_score < min_health_score,
             health_uncertainty(server, request),
@@ -150,10 +152,9 @@
     std::int64_t slots = 0;
     int degraded = 0;
     bool outside_preferred_rack = false;
-    /// Of the servers that the tasks would use: those to avoid, and those on
-    /// probation.
-    int avoided = 0;
-    int unproven = 0;
+    /// Of the servers that the tasks would use: those that are excluded, to
+    /// avoid or on probation.
+    int doubtful = 0;
     /// Of the servers that the tasks would use. Work that takes the fastest
     /// servers first is as slow as the slowest of them.
     bool too_slow = false;
@@ -163,9 +164,8 @@
 
     auto order_key() const {
         return std::tuple{
-            avoided,        unproven, degraded,   outside_preferred_rack,
-            too_slow,       risk,     speed_rank, free.accelerators,
-            free.millicores};
+            doubtful, degraded,   outside_preferred_rack, too_slow,
+            risk,     speed_rank, free.accelerators,      free.millicores};
     }
 };
 
@@ -183,8 +183,8 @@
 }
 
 /// Sums up the risk and the speed of the servers that the tasks would use, and
-/// how many of them are to be avoided or on probation. A gang is lost with any
-/// of them, and as slow as the slowest.
+/// how many of them are excluded, to be avoided or on probation. A gang is lost
+/// with any of them, and as slow as the slowest.
 void rate_servers_used(server_group& group, const placement_request& request) {
     std::ranges::sort(group.servers);
     std::int64_t slots = 0;
@@ -193,8 +193,8 @@
         if (slots >= request.count)
             break;
         slots += server.slots;
-        group.avoided += server.order_key.avoided ? 1 : 0;
-        group.unproven += server.order_key.unproven ? 1 : 0;
+        const auto& key = server.order_key;
+        group.doubtful += key.excluded || key.avoided || key.unproven ? 1 : 0;
         group.too_slow = group.too_slow || server.order_key.too_slow;
         group.risk += server.order_key.risk_class;
         slowest_rank = std::max(slowest_rank, server.order_key.speed_rank);
@@ -203,9 +203,10 @@
         group.speed_rank = slowest_rank;
 }
 
-/// Groups in order of preference: the fewest servers to avoid, on probation and
-/// degraded, the preferred rack, servers that are fast enough, the lowest risk,
-/// the speed that suits the request, then the least free capacity.
+/// Groups in order of preference: the fewest servers that are excluded, to
+/// avoid or on probation, the fewest degraded ones, the preferred rack, servers
+/// that are fast enough, the lowest risk, the speed that suits the request,
+/// then the least free capacity.
 std::vector<server_group>
 groups_in_order(const std::vector<candidate_server>& candidates,
                 const placement_request& request) {
@@ -301,7 +302,8 @@
     if (server.service != request.service ||
         !fits(request.each, server.capacity))
         return false;
-    if (server.on_probation && !request.may_probe)
+    if ((server.on_probation && !request.may_probe) ||
+        (server.is_excluded && !request.may_use_excluded))
         return false;
     if (request.healthy_only && server.health_score < min_health_score)
         return false;
@@ -330,6 +332,19 @@
     return {};
 }
 
+bool has_ample_room(const std::vector<candidate_server>& candidates,
+                    placement_request request) {
+    request.may_probe = request.may_use_excluded = true;
+    request.may_use_avoided = true;
+    request.healthy_only = request.within_limit_only = false;
+    std::int64_t slots = 0;
+    for (const auto& server : candidates)
+        if (is_eligible(server, request))
+            slots += std::min<std::int64_t>(slots_in(server.free, request.each),
+                                            2 * request.count);
+    return slots >= 2 * request.count;
+}
+
 bool could_fit(const std::vector<candidate_server>& candidates,
                const placement_request& request) {
     std::map<std::size_t, std::int64_t> slots;
--- a/tests/fleet/placement_preferences_test.cpp
+++ b/tests/fleet/placement_preferences_test.cpp
@@ -9,6 +9,8 @@
 
 #include <fmt/format.h>
 
+#include <random>
+
 namespace celerylift::test {
 
 namespace {
@@ -33,6 +35,13 @@
     fleet.submit_async(job, 1, "kwela-key", path);
 }
 
+/// Whether a task of a job is running.
+bool is_running(const virtual_fleet& fleet, int job) {
+    return std::ranges::any_of(fleet.history.running, [&](const auto& running) {
+        return running.first.starts_with(job_id(job));
+    });
+}
+
 /// The server on which the first running task of a job runs.
 virtual_server& server_of(virtual_fleet& fleet, int job) {
     const auto& id =
@@ -40,16 +49,15 @@
     return fleet.server(std::stoi(id.substr(id.rfind('-') + 1)));
 }
 
+/// Ends all runs as failed on the servers where a job runs.
+void fail_job(virtual_fleet& fleet, int job) {
+    while (is_running(fleet, job))
+        server_of(fleet, job).fail_runs();
+}
+
 /// Whether a task of the job runs within a time.
 bool runs_within(virtual_fleet& fleet, int job, duration limit) {
-    return fleet.sim.run_until(
-        [&] {
-            return std::ranges::any_of(
-                fleet.history.running, [&](const auto& running) {
-                    return running.first.starts_with(job_id(job));
-                });
-        },
-        limit);
+    return fleet.sim.run_until([&] { return is_running(fleet, job); }, limit);
 }
 
 /// Puts all servers on probation by jobs that fail at once wherever they run,
@@ -252,6 +260,97 @@
     EXPECT_EQ(chosen.front(), 1U);
 }
 
+// ---- Excluded servers ----
+
+// Jobs that fail wherever they run exclude their servers for up to 16 s. Once
+// all servers of a service were excluded, nothing was started on it.
+class hopeless_jobs : public ::testing::TestWithParam<int> {};
+
+TEST_P(hopeless_jobs, hold_up_no_later_job) {
+    std::mt19937 random(static_cast<unsigned>(GetParam()));
+    const auto draw = [&](int least, int most) {
+        return std::uniform_int_distribution<int>(least, most)(random);
+    };
+    virtual_fleet fleet;
+    for (int n = draw(1, 30); n > 0; --n) {
+        submit(fleet, make_job(job_id(0x100 + n), "fail", draw(1, 3), small));
+        fleet.sim.run_for(duration{draw(0, 400)});
+    }
+    fleet.sim.run_for(duration{draw(0, 3000)});
+    auto job = make_job(job_id(1), "ms=2000", draw(1, 6), small);
+    job.mutable_steps(0)->set_gang(draw(0, 1) == 1);
+    job.mutable_steps(0)->set_same_rack(draw(0, 1) == 1);
+    job.mutable_steps(0)->set_lasting(draw(0, 3) == 0);
+    submit(fleet, job);
+    EXPECT_TRUE(runs_within(fleet, 1, start_limit));
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, hopeless_jobs, ::testing::Range(1, 41));
+
+// Of a service of which half is out of service, the other half was taken for
+// the whole. It seemed to be in use, and a gang waited twice as long.
+TEST(service_partly_out_of_service, counts_as_idle_while_most_of_it_is_free) {
+    virtual_fleet fleet({3, server_count, 3, 2});
+    put_all_servers_on_probation(fleet);
+    fleet.take_out_of_service(fleet.failure_domain_of(server_count));
+    fleet.sim.run_for(duration{1000});
+    submit(fleet, make_job(job_id(0x200), "ms=60000", 2, whole_server));
+    fleet.sim.run_for(duration{4000});
+    ASSERT_EQ(fleet.history.running.size(), 2U);
+    submit(fleet, make_gang(job_id(1), "ms=400", 2, small));
+    EXPECT_TRUE(runs_within(fleet, 1, start_limit));
+}
+
+// ---- Several preferences at once ----
+
+// A job keeps off servers for several reasons at once: hopeless jobs have put
+// them on probation or excluded them, lasting work holds some, its own runs
+// have failed there, and it has one of few kinds or has to share a rack.
+class mixed_preferences : public ::testing::TestWithParam<int> {};
+
+TEST_P(mixed_preferences, hold_up_no_job) {
+    std::mt19937 random(static_cast<unsigned>(GetParam()));
+    const auto draw = [&](int least, int most) {
+        return std::uniform_int_distribution<int>(least, most)(random);
+    };
+    virtual_fleet fleet({3, 8, 4});
+    for (const int n : {7, 8})
+        fleet.server(n).kind = "special";
+    fleet.sim.run_for(duration{1000});
+    if (draw(0, 1) == 1) {
+        auto lasting = make_job(job_id(0x200), "ms=600000", 1, whole_server);
+        lasting.mutable_steps(0)->set_lasting(true);
+        submit_special(fleet, lasting);
+        ASSERT_TRUE(runs_within(fleet, 0x200, start_limit));
+    }
+    for (int n = draw(0, 20); n > 0; --n) {
+        auto hopeless = make_job(job_id(0x100 + n), "fail", draw(1, 2), small);
+        hopeless.mutable_steps(0)->set_gang(draw(0, 3) == 0);
+        if (draw(0, 1) == 1)
+            hopeless.mutable_steps(0)->set_required_label("special");
+        submit(fleet, hopeless);
+        fleet.sim.run_for(duration{draw(0, 400)});
+    }
+    fleet.sim.run_for(duration{draw(0, 4000)});
+    auto job = make_job(job_id(1), "ms=9000", draw(1, 4), small);
+    auto* step = job.mutable_steps(0);
+    step->set_gang(draw(0, 1) == 1);
+    step->set_same_rack(step->gang() && draw(0, 1) == 1);
+    step->set_lasting(draw(0, 3) == 0);
+    step->set_estimate_ms(draw(0, 1) == 1 ? 9000 : 3'600'000);
+    if (draw(0, 1) == 1)
+        step->set_required_label("special");
+    fleet.submit_async(job, 1, "kwela-key",
+                       draw(0, 3) == 0 ? "/urgent/" : "/normal/");
+    ASSERT_TRUE(runs_within(fleet, 1, start_limit));
+    fleet.sim.run_for(duration{draw(100, 1500)});
+    fail_job(fleet, 1);
+    fleet.sim.run_for(duration{100});
+    EXPECT_TRUE(runs_within(fleet, 1, start_limit));
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, mixed_preferences, ::testing::Range(1, 101));
+
 // ---- Other preferences ----
 
 // Gangs insisted on healthy servers for three seconds however idle the service.
