--- a/modules/fleet/src/placement.cpp
+++ b/modules/fleet/src/placement.cpp
@@ -341,8 +341,8 @@
     for (const auto& server : candidates)
         if (is_eligible(server, request))
             slots += std::min<std::int64_t>(slots_in(server.free, request.each),
-                                            2 * request.count);
-    return slots >= 2 * request.count;
+                                            2 * std::int64_t{request.count});
+    return slots >= 2 * std::int64_t{request.count};
 }
 
 bool could_fit(const std::vector<candidate_server>& candidates,
