Do not wait for sound servers where work must be running after 3 s

What callers saw: since a gang waited for ten seconds for sound servers, though under half of the service was in use and servers on probation had room for it twice over.

Cause: the condition that keeps work from spending its attempts on doubtful servers had only the bound of 30 s.

Change: where the service is mostly idle and has room for the unit twice over, servers on probation and those to avoid may be used after 2.5 s. Excluded servers still need that waiting would not help. Decided in one function, allow_doubtful_servers().

--- a/modules/fleet/src/owner_requests.cpp
+++ b/modules/fleet/src/owner_requests.cpp
@@ -38,9 +38,11 @@
 /// A server on which all runs fail at once is always free, and would take the
 /// attempts of work that sound servers will have room for. A unit waits for
 /// room that comes within the first of these times, but not longer than the
-/// second.
+/// second, and than the third if it must be running after 3 s and the free
+/// capacity suffices for it twice over.
 constexpr duration max_run_to_wait_for{12'000};
 constexpr duration max_wait_for_sound_servers{30'000};
+constexpr duration max_short_wait_for_sound_servers{2500};
 
 /// Sets which speeds a request prefers. Nothing while servers run alike.
 void prefer_speeds(const owner& self, const job& job,
@@ -109,31 +111,41 @@
         request.same_rack = false;
 }
 
-/// Allows the servers to avoid once the preferences have expired, or if the
-/// request would not fit elsewhere even on an idle fleet. Until then the job
-/// waits for another server, so that it does not spend its last attempt where
-/// it failed before.
+/// Allows the servers to avoid if the request would not fit elsewhere even on
+/// an idle fleet. Otherwise the job waits for another server, so that it does
+/// not spend its last attempt where it failed before.
 void relax_avoidance(const std::vector<candidate_server>& candidates,
-                     bool expired, placement_request& request) {
-    if (request.avoid.empty())
+                     placement_request& request) {
+    if (request.avoid.empty() || request.may_use_avoided)
         return;
     auto single = request;
     single.count = 1;
     request.may_use_avoided =
-        expired || !could_fit(candidates, request.same_rack ? request : single);
+        !could_fit(candidates, request.same_rack ? request : single);
 }
 
-/// Whether a unit whose preferences have expired may use the servers that its
-/// request excludes because runs have failed there. Lasting work has no limit
-/// of attempts.
-bool may_use_doubtful_servers(const schedule_pass& pass, const job& job,
-                              int step, duration waited,
-                              placement_request request) {
-    if (job.submission.steps(step).lasting() ||
-        waited >= max_wait_for_sound_servers)
-        return true;
+/// Whether sound servers could hold a request once the runs that end soon have
+/// ended.
+bool will_fit_on_sound_servers(const schedule_pass& pass,
+                               placement_request request) {
     request.same_rack = false;
-    return !could_fit(pass.soon_available, request);
+    return could_fit(pass.soon_available, request);
+}
+
+/// Sets whether a request may use the servers that it excludes because runs
+/// have failed there, after the preferences of its unit have expired. Lasting
+/// work has no limit of attempts.
+void allow_doubtful_servers(const schedule_pass& pass, bool lasting,
+                            bool must_start_soon, duration waited,
+                            placement_request& request) {
+    const bool may_wait = !lasting && waited < max_wait_for_sound_servers &&
+                          will_fit_on_sound_servers(pass, request);
+    const bool has_room =
+        must_start_soon && has_ample_room(pass.candidates, request);
+    const bool is_due = has_room && waited >= max_short_wait_for_sound_servers;
+    request.may_use_excluded = has_room && !may_wait;
+    request.may_probe = request.may_probe || !may_wait || is_due;
+    request.may_use_avoided = !may_wait || is_due;
 }
 
 /// Whether a task is to be tried on a server on probation. That may cost it an
@@ -229,20 +241,17 @@
     request.last_failed_at = tasks.front().last_failed_at;
     const auto expiry = expiry_of(self, pass, job, unit.step);
     const bool expired = expiry.applies_to(tasks.front());
-    const bool may_use_doubtful =
-        expired &&
-        may_use_doubtful_servers(pass, job, unit.step,
-                                 waiting_time(self, tasks.front()), request);
-    request.may_probe = may_use_doubtful;
-    request.may_use_excluded = may_use_doubtful && expiry.must_start_soon &&
-                               has_ample_room(pass.candidates, request);
+    if (expired)
+        allow_doubtful_servers(pass, job.submission.steps(unit.step).lasting(),
+                               expiry.must_start_soon,
+                               waiting_time(self, tasks.front()), request);
     request.prefer_proven = true;
     // However many members fail there, the run costs the gang one attempt.
     request.fills_servers_on_probation = true;
     // A single rack is preferred as long as one could hold the gang, degraded
     // servers included.
     relax_rack(self, job, unit, pass.candidates, tasks.front(), request);
-    relax_avoidance(pass.candidates, may_use_doubtful, request);
+    relax_avoidance(pass.candidates, request);
     request.healthy_only =
         !expired && waiting_time(self, tasks.front()) <
                         (unit.priority == 0 ? max_urgent_wait_for_healthy
@@ -269,16 +278,13 @@
     const bool expired = expiry.applies_to(first);
     request.prefer_proven = !may_probe(self, job, first.avoid_agent);
     request.may_probe = !request.prefer_proven;
-    const bool may_use_doubtful =
-        expired && (request.prefer_proven || expiry.must_start_soon) &&
-        may_use_doubtful_servers(pass, job, unit.step,
-                                 waiting_time(self, first), request);
-    request.may_probe = request.may_probe || may_use_doubtful;
-    request.may_use_excluded = may_use_doubtful && expiry.must_start_soon &&
-                               has_ample_room(pass.candidates, request);
+    if (expired && (request.prefer_proven || expiry.must_start_soon))
+        allow_doubtful_servers(pass, job.submission.steps(unit.step).lasting(),
+                               expiry.must_start_soon,
+                               waiting_time(self, first), request);
     request.needs_own_servers = needs_own_servers(self, pass, job, first);
     allow_shared_servers(self, first, request);
-    relax_avoidance(pass.candidates, may_use_doubtful, request);
+    relax_avoidance(pass.candidates, request);
     const auto group_end = std::find_if(
         tasks.begin() + static_cast<std::ptrdiff_t>(next), tasks.end(),
         [&](const task* task) {
--- a/tests/fleet/placement_preferences_test.cpp
+++ b/tests/fleet/placement_preferences_test.cpp
@@ -162,6 +162,50 @@
     EXPECT_TRUE(fleet.wait_for_state(job_id(1), fleet::JOB_COMPLETED));
 }
 
+// A server on which all runs fail is always free. On a full service gangs that
+// had waited spent their attempts there, though others were about to end.
+TEST(servers_on_probation, run_no_gang_that_others_will_have_room_for) {
+    virtual_fleet fleet;
+    for (const int n : {1, 2})
+        fleet.server(n).fails_all_runs = true;
+    fleet.submit(make_job(job_id(0x100), "ms=300", 48, small));
+    ASSERT_TRUE(fleet.wait_for_state(job_id(0x100), fleet::JOB_COMPLETED));
+    for (int n = 1; n <= 4; ++n)
+        submit(fleet, make_job(job_id(n), "ms=9000", 1, whole_server));
+    fleet.sim.run_until([&] { return fleet.history.running.size() == 4; },
+                        duration{5000});
+    const int failures = fleet.history.failures;
+    auto gang = make_gang(job_id(5), "ms=300", 2, whole_server);
+    gang.mutable_steps(0)->set_same_rack(false);
+    submit(fleet, gang);
+    EXPECT_TRUE(fleet.wait_for_state(job_id(5), fleet::JOB_COMPLETED));
+    EXPECT_EQ(fleet.history.failures, failures);
+}
+
+// On a service under half in use it does not wait for them: all free servers
+// are on probation, and the others have no room for ten seconds.
+TEST(servers_on_probation, run_a_gang_where_others_will_have_room_late) {
+    virtual_fleet fleet({3, 8, 4});
+    for (int n = 1; n <= 5; ++n)
+        fleet.server(n).kind = "special";
+    fleet.sim.run_for(duration{1000});
+    for (int n = 1; n <= 5; ++n)
+        fleet.server(n).fails_all_runs = true;
+    submit_special(fleet, make_job(job_id(0x100), "ms=400", 5, whole_server));
+    ASSERT_TRUE(fleet.wait_for_state(job_id(0x100), fleet::JOB_FAILED));
+    for (int n = 1; n <= 5; ++n)
+        fleet.server(n).fails_all_runs = false;
+    fleet.sim.run_for(duration{15'000});
+    for (int n = 0x201; n <= 0x203; ++n) {
+        auto job = make_job(job_id(n), "ms=10000", 1, whole_server);
+        job.mutable_steps(0)->set_required_label("a");
+        submit(fleet, job);
+        ASSERT_TRUE(runs_within(fleet, n, start_limit));
+    }
+    submit(fleet, make_gang(job_id(1), "ms=400", 2, small));
+    EXPECT_TRUE(runs_within(fleet, 1, start_limit));
+}
+
 // A gang that has waited may use servers on probation, but does so only where
 // the others do not suffice.
 TEST(servers_on_probation, run_members_that_do_not_fit_on_proven_servers) {
