Show that a gang waits for a single rack beyond the bound

What callers see: on a service under half in use, a gang that has room twice over on several racks has nothing running for longer than 3 s after its turn.

Cause: relax_rack() keeps the preference for one rack for as long as one could hold the gang on an idle fleet, up to max_rack_wait (12 s). The other preferences expire after 2.5 s at the latest there; this one does not.

--- a/tests/fleet/placement_preferences_test.cpp
+++ b/tests/fleet/placement_preferences_test.cpp
@@ -395,6 +395,33 @@
 
 INSTANTIATE_TEST_SUITE_P(seeds, mixed_preferences, ::testing::Range(1, 101));
 
+// ---- A single rack ----
+
+// In KNOWN-RED.txt: a gang that would fit on one rack if that were idle waits
+// for it for up to 12 s, though it fits on several racks and the service is
+// mostly idle.
+TEST(single_rack, is_not_waited_for_while_the_service_is_mostly_idle) {
+    virtual_fleet fleet({3, server_count, 2});
+    const std::vector<std::string> kinds{"a", "b", "c"};
+    for (int n = 1; n <= server_count; ++n)
+        fleet.server(n).kind = kinds[static_cast<std::size_t>((n - 1) / 2)];
+    fleet.sim.run_for(duration{1000});
+    for (int rack = 0; rack < 3; ++rack) {
+        auto lasting = make_job(job_id(0x200 + rack), "ms=600000", 6, small);
+        lasting.mutable_steps(0)->set_required_label(
+            kinds[static_cast<std::size_t>(rack)]);
+        lasting.mutable_steps(0)->set_lasting(true);
+        submit(fleet, lasting);
+        ASSERT_TRUE(runs_within(fleet, 0x200 + rack, start_limit));
+    }
+    fleet.sim.run_for(duration{3000});
+    ASSERT_EQ(fleet.history.running.size(), 18U);
+    auto gang = make_gang(job_id(1), "ms=400", 12, small);
+    gang.mutable_steps(0)->set_estimate_ms(9000);
+    submit(fleet, gang);
+    EXPECT_TRUE(runs_within(fleet, 1, start_limit));
+}
+
 // ---- Other preferences ----
 
 // Gangs insisted on healthy servers for three seconds however idle the service.
